--- /dev/null
+++ b/src/wire.rs
@@ -0,0 +1,626 @@
+//! The simulator's wire: parsing, translation to [`crate::api`], and hosting of many instances.
+//! Nothing is decided here.
+
+use crate::api::*;
+use crate::logic::Balancer;
+use std::collections::{BTreeMap, HashMap};
+use std::fmt::{self, Write as _};
+use std::io::{BufRead, Write};
+use std::panic::{AssertUnwindSafe, catch_unwind};
+
+/// Bound on times read from the wire, so that sums of a few of them cannot overflow.
+const TIME_BOUND: f64 = (1i64 << 55) as f64;
+
+/// A malformed line.
+#[derive(Debug)]
+pub struct WireError {
+    line: u64,
+    field: String,
+    what: String,
+}
+
+impl fmt::Display for WireError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "line {}: field {}: {}", self.line, self.field, self.what)
+    }
+}
+
+/// Why serving the wire ended before its end of input.
+#[derive(Debug)]
+pub enum ServeError {
+    /// A malformed line.
+    Wire(WireError),
+    /// Input or output failed.
+    Io(std::io::Error),
+    /// The decision code panicked; the wire has been told.
+    Panicked,
+}
+
+impl fmt::Display for ServeError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ServeError::Wire(e) => e.fmt(f),
+            ServeError::Io(e) => e.fmt(f),
+            ServeError::Panicked => f.write_str("the decision code panicked"),
+        }
+    }
+}
+
+impl From<std::io::Error> for ServeError {
+    fn from(e: std::io::Error) -> Self {
+        ServeError::Io(e)
+    }
+}
+
+impl From<WireError> for ServeError {
+    fn from(e: WireError) -> Self {
+        ServeError::Wire(e)
+    }
+}
+
+/// The fields of one line.
+struct Fields<'a> {
+    line: u64,
+    pairs: Vec<(&'a str, &'a str)>,
+}
+
+impl<'a> Fields<'a> {
+    fn parse(line: u64, rest: &'a str) -> Result<Self, WireError> {
+        let mut pairs = Vec::new();
+        for part in rest.split(' ').filter(|p| !p.is_empty()) {
+            match part.split_once('=') {
+                Some(pair) => pairs.push(pair),
+                None => {
+                    return Err(WireError { line, field: part.into(), what: "expected name=value".into() });
+                }
+            }
+        }
+        Ok(Fields { line, pairs })
+    }
+
+    fn bad(&self, field: &str, what: impl Into<String>) -> WireError {
+        WireError { line: self.line, field: field.into(), what: what.into() }
+    }
+
+    fn get(&self, name: &str) -> Option<&'a str> {
+        self.pairs.iter().find(|(n, _)| *n == name).map(|(_, v)| *v)
+    }
+
+    fn need(&self, name: &str) -> Result<&'a str, WireError> {
+        self.get(name).ok_or_else(|| self.bad(name, "missing"))
+    }
+
+    fn parsed<T: std::str::FromStr>(&self, name: &str) -> Result<Option<T>, WireError> {
+        self.get(name)
+            .map(|v| v.parse().map_err(|_| self.bad(name, format!("cannot read {v:?}"))))
+            .transpose()
+    }
+
+    fn int(&self, name: &str) -> Result<u64, WireError> {
+        self.parsed(name)?.ok_or_else(|| self.bad(name, "missing"))
+    }
+
+    fn num(&self, name: &str) -> Result<Option<f64>, WireError> {
+        match self.parsed::<f64>(name)? {
+            Some(v) if !v.is_finite() => Err(self.bad(name, "not a finite number")),
+            v => Ok(v),
+        }
+    }
+
+    fn time(&self, name: &str) -> Result<Option<Micros>, WireError> {
+        Ok(self.num(name)?.map(|ms| (ms * 1000.0).round().clamp(-TIME_BOUND, TIME_BOUND) as Micros))
+    }
+
+    fn flag(&self, name: &str) -> Result<bool, WireError> {
+        match self.get(name) {
+            None | Some("0" | "false") => Ok(false),
+            Some("1" | "true") => Ok(true),
+            Some(v) => Err(self.bad(name, format!("cannot read {v:?} as a bool"))),
+        }
+    }
+}
+
+/// Settings by path.
+struct Conf<'a> {
+    fields: Fields<'a>,
+}
+
+impl<'a> Conf<'a> {
+    fn list(&self, name: &str) -> Vec<&'a str> {
+        self.fields.get(name).map(|v| v.split(',').filter(|s| !s.is_empty()).collect()).unwrap_or_default()
+    }
+
+    fn nums(&self, name: &str) -> Result<Vec<f64>, WireError> {
+        self.list(name)
+            .iter()
+            .map(|v| v.parse::<f64>().ok().filter(|n| n.is_finite()))
+            .collect::<Option<_>>()
+            .ok_or_else(|| self.fields.bad(name, "expected numbers set apart by commas"))
+    }
+
+    fn time(&self, name: &str) -> Result<Micros, WireError> {
+        Ok(self.fields.time(name)?.unwrap_or(0))
+    }
+
+    fn count(&self, name: &str, absent: usize) -> Result<usize, WireError> {
+        Ok(self.fields.num(name)?.map_or(absent, |v| v.max(0.0) as usize))
+    }
+
+    fn num(&self, name: &str, absent: f64) -> Result<f64, WireError> {
+        Ok(self.fields.num(name)?.unwrap_or(absent))
+    }
+}
+
+/// Names that the wire uses for what the interface numbers.
+#[derive(Default)]
+struct Names {
+    classes: Vec<String>,
+    tenants: Vec<String>,
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    report: Vec<String>,
+}
+
+fn index(names: &[String], name: &str) -> Option<usize> {
+    names.iter().position(|n| n == name)
+}
+
+fn owned(names: Vec<&str>) -> Vec<String> {
+    names.into_iter().map(str::to_owned).collect()
+}
+
+fn read_settings(c: &Conf) -> Result<(Settings, Names), WireError> {
+    let mut names = Names {
+        zones: owned(c.list("zones")),
+        kinds: owned(c.list("kinds")),
+        report: owned(c.list("report.fields")),
+        ..Names::default()
+    };
+    let mut classes = Vec::new();
+    for i in 0..c.count("classes.count", 0)? {
+        let at = |key: &str| format!("classes.{i}.{key}");
+        let kind = at("idempotency");
+        let effect = match c.fields.need(&kind)? {
+            "pure" => Effect::Safe,
+            "side_effect" => Effect::Unsafe,
+            "token" => {
+                let scope = at("dedupScope");
+                let per_zone = match c.fields.get(&scope) {
+                    Some("all") => false,
+                    None | Some("zone" | "cell") => true,
+                    Some(v) => return Err(c.fields.bad(&scope, format!("unknown scope {v:?}"))),
+                };
+                Effect::Keyed { life: c.time(&at("keyTtl"))?, per_zone }
+            }
+            v => return Err(c.fields.bad(&kind, format!("unknown kind {v:?}"))),
+        };
+        names.classes.push(c.fields.need(&at("name"))?.to_owned());
+        classes.push(Class {
+            effect,
+            aim: c.time(&at("goalTime"))?,
+            deadline: c.time(&at("deadline"))?,
+            worth: c.num(&at("worth"), 1.0)?,
+            late_share: c.num(&at("lateShare"), 0.0)?,
+            ordered: c.fields.flag(&at("sequential"))?,
+        });
+    }
+    let mut tenants = Vec::new();
+    for i in 0..c.count("realms.count", 0)? {
+        names.tenants.push(c.fields.need(&format!("realms.{i}.name"))?.to_owned());
+        tenants.push(Tenant { quota: c.num(&format!("realms.{i}.quotaRps"), f64::MAX)? });
+    }
+    let apart = c.list("familyInfo.kindApart");
+    let batch = c.nums("familyInfo.batchByKind")?;
+    let kinds = (0..names.kinds.len())
+        .map(|i| Kind {
+            routes_apart: matches!(apart.get(i), Some(&("true" | "1"))),
+            batch: batch.get(i).map_or(1, |b| b.max(1.0) as usize),
+        })
+        .collect();
+    let settings = Settings {
+        classes,
+        kinds,
+        tenants,
+        over_share_worth: c.num("overShareWorth", 1.0)?,
+        decay: match c.fields.get("familyInfo.decay") {
+            Some("halves") => Decay::Halves,
+            None | Some("line") => Decay::Line,
+            Some(v) => return Err(c.fields.bad("familyInfo.decay", format!("unknown decay {v:?}"))),
+        },
+        zone: c.fields.get("zone").and_then(|z| index(&names.zones, z)).unwrap_or(usize::MAX),
+        senders: c.count("peersTotal", 1)?,
+        slots: c.count("familyInfo.slots", usize::MAX)?,
+        open_cap: c.count("limits.openCap", usize::MAX)?,
+        max_attempts: c.count("limits.maxAttempts", usize::MAX)?,
+        cancel: c.fields.flag("limits.cancel")?,
+        retry_after: c.fields.flag("limits.retryAfter")?,
+        max_retry_after: c.time("limits.maxRetryAfter")?,
+        ask: match c.fields.get("discovery") {
+            Some("ask") => true,
+            None | Some("push") => false,
+            Some(v) => return Err(c.fields.bad("discovery", format!("unknown mode {v:?}"))),
+        },
+        weights: match c.fields.get("weights") {
+            Some("nominal") => Weights::Nominal,
+            Some("rough") => Weights::Rough,
+            _ => Weights::Off,
+        },
+        idle_close: c.time("limits.idleClose")?,
+        connect_timeout: c.time("limits.connectTimeout")?,
+        round: c.time("round")?,
+        fall_multiple: c.num("guarantees.fallMultiple", 1.0)?,
+        overload_for: c.time("guarantees.overloadFor")?,
+        start_capacity: c.num("guarantees.startCapacity", 0.0)?,
+        warm_after: c.time("guarantees.warmAfter")?,
+        turn_gap: c.time("guarantees.turnGap")?,
+    };
+    Ok((settings, names))
+}
+
+struct Held {
+    wire_id: String,
+    out: usize,
+    sent: usize,
+    over: bool,
+}
+
+/// One sender and the names it goes by on the wire.
+struct Instance {
+    balancer: Balancer,
+    names: Names,
+    ids: HashMap<String, MessageId>,
+    held: BTreeMap<MessageId, Held>,
+    next: MessageId,
+    actions: Vec<Action>,
+}
+
+impl Instance {
+    /// Forgets a message once it is over and no attempt of it is out.
+    fn settle(&mut self, id: MessageId) {
+        if let Some(h) = self.held.get(&id)
+            && h.over
+            && h.out == 0
+        {
+            self.ids.remove(&h.wire_id);
+            self.held.remove(&id);
+        }
+    }
+
+    fn close(&mut self, id: MessageId) {
+        if let Some(h) = self.held.get_mut(&id) {
+            h.over = true;
+        }
+        self.settle(id);
+    }
+
+    fn report(&self, f: &Fields) -> Result<Option<Report>, WireError> {
+        let Some(row) = f.get("healthInfo").filter(|r| !r.is_empty() && *r != "-") else { return Ok(None) };
+        let mut report = Report { limit: None };
+        for (name, value) in self.names.report.iter().zip(row.split(',')) {
+            let v: f64 = value.parse().map_err(|_| f.bad("healthInfo", format!("cannot read {value:?}")))?;
+            if name == "x1" {
+                report.limit = Some(v).filter(|l| *l > 0.0);
+            }
+        }
+        Ok(Some(report))
+    }
+
+    fn write(&mut self, number: u64, out: &mut String) {
+        for action in std::mem::take(&mut self.actions) {
+            let id = match action {
+                Action::Send { id, .. }
+                | Action::Refuse { id, .. }
+                | Action::Fail { id }
+                | Action::Cancel { id, .. } => id,
+                _ => MessageId::MAX,
+            };
+            let wire_id = self.held.get(&id).map(|h| h.wire_id.clone()).unwrap_or_default();
+            let done = match action {
+                Action::Send { target, timeout, .. } => {
+                    if let Some(h) = self.held.get_mut(&id) {
+                        h.out += 1;
+                        h.sent += 1;
+                    }
+                    let allow = ms(timeout);
+                    write!(out, "PASS_ON forwarder={number} ref={wire_id} target={target} allowFor={allow}")
+                }
+                Action::Refuse { wait, .. } => {
+                    write!(out, "PUSH_BACK forwarder={number} ref={wire_id} pause={}", ms(wait))
+                }
+                Action::Fail { .. } => write!(out, "GIVE_UP forwarder={number} ref={wire_id}"),
+                Action::Cancel { attempt, .. } => {
+                    write!(out, "CANCEL forwarder={number} ref={wire_id} go={attempt}")
+                }
+                Action::Close { target } => write!(out, "DISCONNECT forwarder={number} target={target}"),
+                Action::Wake { at } => {
+                    write!(out, "SET_ALARM forwarder={number} time={} handle=0", ms(at))
+                }
+                Action::Subscribe => write!(out, "SUBSCRIBE forwarder={number} want=1"),
+            };
+            done.and_then(|()| out.write_char('\n')).expect("writing to a string does not fail");
+            if matches!(action, Action::Refuse { .. } | Action::Fail { .. }) {
+                self.close(id);
+            }
+        }
+    }
+}
+
+fn ms(t: Micros) -> f64 {
+    t as f64 / 1000.0
+}
+
+fn outcome(f: &Fields, field: &str) -> Result<Outcome, WireError> {
+    Ok(match f.int(field)? {
+        0 => Outcome::Delivered,
+        255 => Outcome::Error,
+        254 => Outcome::Full {
+            wait: f.num("detail")?.filter(|w| *w > 0.0).map(|w| (w.min(TIME_BOUND / 1e3) * 1e3) as Micros),
+        },
+        253 => Outcome::TimedOut,
+        252 => Outcome::ConnectFailed,
+        251 => Outcome::Reset,
+        250 => Outcome::Cancelled,
+        249 => Outcome::NotSent,
+        v => return Err(f.bad(field, format!("unknown outcome {v}"))),
+    })
+}
+
+/// A line of a catalog, before an instance has put its own numbers to the names.
+struct Row {
+    target: TargetId,
+    dest: DestId,
+    zone: String,
+    kind: String,
+    listing: Listing,
+    weight: f64,
+}
+
+/// Hosts the instances of one process.
+#[derive(Default)]
+struct Host {
+    now: Micros,
+    instances: BTreeMap<u64, Instance>,
+    sheets: BTreeMap<u64, Vec<Row>>,
+    /// Sheet that `ROW` lines belong to and how many are still to come.
+    reading: Option<(u64, u64)>,
+    touched: Vec<u64>,
+}
+
+impl Host {
+    fn event(&mut self, name: &str, f: &Fields) -> Result<(), WireError> {
+        match name {
+            "CATALOG" => {
+                let sheet = f.int("sheet")?;
+                self.sheets.insert(sheet, Vec::new());
+                self.reading = Some((sheet, f.int("entries")?));
+                return Ok(());
+            }
+            "ROW" => return self.row(f),
+            "BOOT" => return self.boot(f),
+            "EXIT" => {
+                let number = f.int("forwarder")?;
+                self.instances.remove(&number);
+                self.touched.retain(|n| *n != number);
+                return Ok(());
+            }
+            "SUBMIT" | "UNDER_WAY" | "RETURNED" | "CLIENT_LEFT" | "RING" | "ENDPOINTS" => {}
+            _ => return Ok(()),
+        }
+        let number = f.int("forwarder")?;
+        let Some(inst) = self.instances.get_mut(&number) else {
+            return Err(f.bad("forwarder", format!("no instance {number}")));
+        };
+        if !self.touched.contains(&number) {
+            self.touched.push(number);
+        }
+        let known = |inst: &Instance| -> Result<Option<MessageId>, WireError> {
+            Ok(inst.ids.get(f.need("ref")?).copied())
+        };
+        let mut closes = None;
+        let event = match name {
+            "SUBMIT" => {
+                let class = f.need("priority")?;
+                let class = index(&inst.names.classes, class)
+                    .ok_or_else(|| f.bad("priority", format!("unknown class {class:?}")))?;
+                let event = Event::Submit(Submit {
+                    id: inst.next,
+                    class,
+                    tenant: f.get("clientGroup").and_then(|t| index(&inst.names.tenants, t)),
+                    key: f.get("partitionKey").filter(|k| !k.is_empty()).map(str::to_owned),
+                    give_up_at: f.time("giveUpAt")?.ok_or_else(|| f.bad("giveUpAt", "missing"))?,
+                    dest: f.int("calledNode")?,
+                });
+                let wire_id = f.need("ref")?.to_owned();
+                inst.ids.insert(wire_id.clone(), inst.next);
+                inst.held.insert(inst.next, Held { wire_id, out: 0, sent: 0, over: false });
+                inst.next += 1;
+                event
+            }
+            "RETURNED" => {
+                let (attempt, outcome, finished) =
+                    (f.int("go")? as usize, outcome(f, "how")?, f.flag("finished")?);
+                let elapsed = f.time("elapsed")?.unwrap_or(0);
+                let report = inst.report(f)?;
+                let Some(id) = known(inst)? else { return Ok(()) };
+                let held = inst.held.get_mut(&id).expect("ids and held go together");
+                if attempt >= held.sent {
+                    return Err(f.bad("go", format!("attempt {attempt} was never sent")));
+                }
+                held.out = held.out.saturating_sub(1);
+                held.over |= finished;
+                closes = Some(id);
+                Event::Ended(Ended { id, attempt, outcome, elapsed, finished, report })
+            }
+            "UNDER_WAY" => match known(inst)? {
+                Some(id) => Event::Started { id },
+                None => return Ok(()),
+            },
+            "CLIENT_LEFT" => match known(inst)? {
+                Some(id) => {
+                    inst.held.get_mut(&id).expect("ids and held go together").over = true;
+                    closes = Some(id);
+                    Event::ClientLeft { id }
+                }
+                None => return Ok(()),
+            },
+            "RING" => Event::Wake,
+            _ => {
+                let mode = f.need("mode")?;
+                let entries = || -> Result<Vec<Entry>, WireError> {
+                    let sheet = f.int("sheet")?;
+                    let rows = self
+                        .sheets
+                        .get(&sheet)
+                        .ok_or_else(|| f.bad("sheet", format!("no catalog numbered {sheet}")))?;
+                    let number = |names: &[String], name: &str| index(names, name).unwrap_or(usize::MAX);
+                    Ok(rows
+                        .iter()
+                        .map(|r| Entry {
+                            target: r.target,
+                            dest: r.dest,
+                            zone: number(&inst.names.zones, &r.zone),
+                            kind: number(&inst.names.kinds, &r.kind),
+                            listing: r.listing,
+                            weight: r.weight,
+                        })
+                        .collect())
+                };
+                match mode {
+                    "patch" => Event::ListChanges(entries()?),
+                    "whole" | "stale_copy" => Event::ListWhole(entries()?),
+                    "broken" => Event::ListBroken,
+                    v => return Err(f.bad("mode", format!("unknown mode {v:?}"))),
+                }
+            }
+        };
+        inst.balancer.on_event(self.now, event, &mut inst.actions);
+        if let Some(id) = closes {
+            // Ids that the module answers in this turn stay until the reply is written.
+            if !inst.actions.iter().any(|a| {
+                matches!(a, Action::Refuse { id: i, .. } | Action::Fail { id: i } | Action::Send { id: i, .. }
+                    if *i == id)
+            }) {
+                inst.settle(id);
+            }
+        }
+        Ok(())
+    }
+
+    fn row(&mut self, f: &Fields) -> Result<(), WireError> {
+        let Some((sheet, left)) = self.reading.filter(|(_, left)| *left > 0) else {
+            return Err(f.bad("ROW", "no catalog has room for it"));
+        };
+        let row = Row {
+            target: f.int("target")?,
+            dest: f.int("belongsTo")?,
+            zone: f.get("site").unwrap_or_default().to_owned(),
+            kind: f.get("flavor").unwrap_or_default().to_owned(),
+            listing: match f.need("availability")? {
+                "SERVING" => Listing::Serving,
+                "DRAINING" => Listing::Draining,
+                "DELETED" => Listing::Deleted,
+                v => return Err(f.bad("availability", format!("unknown state {v:?}"))),
+            },
+            weight: f.num("scale")?.unwrap_or(1.0),
+        };
+        self.sheets.entry(sheet).or_default().push(row);
+        self.reading = Some((sheet, left - 1));
+        Ok(())
+    }
+
+    fn boot(&mut self, f: &Fields) -> Result<(), WireError> {
+        let number = f.int("forwarder")?;
+        let seed = f.int("nonce64")?;
+        let conf = Conf { fields: Fields { line: f.line, pairs: f.pairs.clone() } };
+        let (settings, names) = read_settings(&conf)?;
+        let instance = Instance {
+            balancer: Balancer::new(settings, seed),
+            names,
+            ids: HashMap::new(),
+            held: BTreeMap::new(),
+            next: 0,
+            actions: Vec::new(),
+        };
+        self.instances.insert(number, instance);
+        if !self.touched.contains(&number) {
+            self.touched.push(number);
+        }
+        Ok(())
+    }
+
+    fn reply(&mut self, out: &mut String) {
+        for number in std::mem::take(&mut self.touched) {
+            if let Some(inst) = self.instances.get_mut(&number) {
+                inst.balancer.on_event(self.now, Event::TurnEnd, &mut inst.actions);
+                inst.write(number, out);
+            }
+        }
+    }
+}
+
+fn panic_text(cause: &(dyn std::any::Any + Send)) -> String {
+    let text = cause
+        .downcast_ref::<String>()
+        .cloned()
+        .or_else(|| cause.downcast_ref::<&str>().map(|s| (*s).to_owned()))
+        .unwrap_or_else(|| "panic".to_owned());
+    text.replace(['\n', '\r'], " ")
+}
+
+/// Serves the wire until the end of input.
+pub fn serve(input: impl BufRead, mut output: impl Write) -> Result<(), ServeError> {
+    let mut host = Host::default();
+    let mut in_frame = false;
+    let mut last = 0;
+    for (i, line) in input.lines().enumerate() {
+        let line = line?;
+        let at = i as u64 + 1;
+        let line = line.trim_end_matches('\r');
+        let (name, rest) = line.split_once(' ').unwrap_or((line, ""));
+        if name.is_empty() {
+            continue;
+        }
+        let fields = Fields::parse(at, rest)?;
+        if name == "FRAME" {
+            if in_frame {
+                return Err(fields.bad("FRAME", "the last batch has not been closed").into());
+            }
+            host.now = fields.time("time")?.ok_or_else(|| fields.bad("time", "missing"))?;
+            in_frame = true;
+            continue;
+        }
+        if !in_frame {
+            return Err(fields.bad(name, "outside a batch").into());
+        }
+        let mut out = String::new();
+        let over = name == "OVER_TO_YOU";
+        let done = catch_unwind(AssertUnwindSafe(|| {
+            if over {
+                host.reply(&mut out);
+                Ok(())
+            } else {
+                host.event(name, &fields)
+            }
+        }));
+        match done {
+            Ok(result) => result?,
+            Err(cause) => {
+                let number = fields.int("forwarder").unwrap_or(last);
+                let text = panic_text(cause.as_ref());
+                write!(output, "INTERNAL_ERROR forwarder={number} msg={text}\nOK\n")?;
+                output.flush()?;
+                return Err(ServeError::Panicked);
+            }
+        }
+        if let Ok(number) = fields.int("forwarder") {
+            last = number;
+        }
+        if over {
+            out.push_str("OK\n");
+            output.write_all(out.as_bytes())?;
+            output.flush()?;
+            in_frame = false;
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,114 @@
+//! A hand-driven sender for the module tests.
+#![allow(dead_code, missing_docs)]
+
+use plankwalk::Balancer;
+use plankwalk::api::*;
+
+pub const MS: Micros = 1_000;
+pub const SEC: Micros = 1_000_000;
+
+pub fn class(effect: Effect) -> Class {
+    Class { effect, aim: 3 * SEC, deadline: 16 * SEC, worth: 1.0, late_share: 0.3, ordered: false }
+}
+
+/// Classes: 0 safe, 1 keyed (life 5 s), 2 unsafe, 3 safe and ordered. Kinds: 0 plain, 1 routes apart, 2 batches.
+pub fn settings() -> Settings {
+    let ordered = Class { ordered: true, ..class(Effect::Safe) };
+    Settings {
+        classes: vec![
+            class(Effect::Safe),
+            class(Effect::Keyed { life: 5 * SEC, per_zone: false }),
+            class(Effect::Unsafe),
+            ordered,
+        ],
+        kinds: vec![
+            Kind { routes_apart: false, batch: 1 },
+            Kind { routes_apart: true, batch: 1 },
+            Kind { routes_apart: false, batch: 20 },
+        ],
+        slots: 8,
+        open_cap: 200,
+        max_attempts: 6,
+        retry_after: true,
+        max_retry_after: 3 * SEC,
+        senders: 2,
+        idle_close: 5 * SEC,
+        round: 5 * MS,
+        fall_multiple: 2.0,
+        overload_for: 3 * SEC,
+        start_capacity: 0.2,
+        warm_after: 12 * SEC,
+        turn_gap: SEC,
+        ..Settings::default()
+    }
+}
+
+pub fn entry(target: TargetId, dest: DestId, kind: usize) -> Entry {
+    Entry { target, dest, zone: 0, kind, listing: Listing::Serving, weight: 1.0 }
+}
+
+pub struct Rig {
+    pub sender: Balancer,
+    pub now: Micros,
+}
+
+impl Rig {
+    pub fn new(settings: Settings, entries: Vec<Entry>) -> Self {
+        let mut rig = Rig { sender: Balancer::new(settings, 7), now: 100 * SEC };
+        rig.turn(vec![Event::ListWhole(entries)]);
+        rig
+    }
+
+    /// Hands in events at the present time, ends the turn and returns the actions but for alarms.
+    pub fn turn(&mut self, events: Vec<Event>) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for event in events.into_iter().chain([Event::TurnEnd]) {
+            self.sender.on_event(self.now, event, &mut actions);
+        }
+        actions.retain(|a| !matches!(a, Action::Wake { .. }));
+        actions
+    }
+
+    /// Lets time pass in steps, with an alarm at each, and returns all actions with their times.
+    pub fn pass(&mut self, span: Micros) -> Vec<(Micros, Action)> {
+        let end = self.now + span;
+        let mut all = Vec::new();
+        while self.now < end {
+            self.now = (self.now + 5 * MS).min(end);
+            let now = self.now;
+            all.extend(self.turn(vec![Event::Wake]).into_iter().map(|a| (now, a)));
+        }
+        all
+    }
+
+    pub fn submit(&mut self, id: MessageId, class: usize, dest: DestId) -> Vec<Action> {
+        let give_up_at = self.now + 16 * SEC;
+        self.turn(vec![Event::Submit(Submit { id, class, tenant: None, key: None, give_up_at, dest })])
+    }
+
+    pub fn keyed(&mut self, id: MessageId, key: &str, dest: DestId) -> Vec<Action> {
+        let (key, give_up_at) = (Some(key.to_owned()), self.now + 16 * SEC);
+        self.turn(vec![Event::Submit(Submit { id, class: 3, tenant: None, key, give_up_at, dest })])
+    }
+
+    pub fn ended(&mut self, id: MessageId, attempt: usize, outcome: Outcome, elapsed: Micros) -> Vec<Action> {
+        let finished = outcome == Outcome::Delivered;
+        self.turn(vec![Event::Ended(Ended { id, attempt, outcome, elapsed, finished, report: None })])
+    }
+}
+
+pub fn sends(actions: &[Action]) -> Vec<(MessageId, TargetId)> {
+    let send = |a: &Action| match a {
+        Action::Send { id, target, .. } => Some((*id, *target)),
+        _ => None,
+    };
+    actions.iter().filter_map(send).collect()
+}
+
+pub fn timed_sends(actions: &[(Micros, Action)]) -> Vec<(Micros, MessageId, TargetId)> {
+    let send = |(at, a): &(Micros, Action)| match a {
+        Action::Send { id, target, .. } => Some((*at, *id, *target)),
+        _ => None,
+    };
+    actions.iter().filter_map(send).collect()
+}
