--- a/src/api.rs
+++ b/src/api.rs
@@ -212,6 +212,17 @@
     pub give_up_at: Micros,
     /// The destination.
     pub dest: DestId,
+    /// What became of it before this start; nothing for a message that is new.
+    pub past: Past,
+}
+
+/// What is known of a message that an earlier process of this sender had taken on.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Past {
+    /// Attempts that were made; further ones are numbered from here.
+    pub attempts: usize,
+    /// When the first attempt that may have run was sent, and the zone of its endpoint.
+    pub risk: Option<(Micros, usize)>,
 }
 
 /// The end of an attempt. Attempts of a message are numbered from 0 in the order of their sends.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod api;
 mod logic;
+pub mod net;
 mod parts;
 pub mod wire;
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -401,15 +401,13 @@
     fn list(&mut self, now: Micros, entries: Vec<Entry>) {
         self.broken = 0;
         for entry in entries {
-            let seed = &mut self.seed;
-            let new = || Dest { scope: Scope::new(now, seed), ..Dest::default() };
+            let new = || Dest { scope: Scope::new(now, &mut self.seed), ..Dest::default() };
             let dest = self.dests.entry(entry.dest).or_insert_with(new);
             dest.kind = self.e.s.kinds.get(entry.kind).copied().unwrap_or_default();
-            let seed = &mut self.seed;
             let new = || Target {
                 avoid_until: now,
                 closed_until: now,
-                scope: Scope::new(now, seed),
+                scope: Scope::new(now, &mut self.seed),
                 ..Target::default()
             };
             let target = self.targets.entry(entry.target).or_insert_with(new);
@@ -455,10 +453,13 @@
         // A client that comes with less patience than the aim is on time until it leaves.
         let due = m.give_up_at - if m.give_up_at - now > c.aim { c.deadline - c.aim } else { 0 };
         let m = Submit { key: key.clone(), ..m };
-        let place = Place::Turn;
-        let held = Message { m, over, due, alarm: now, attempts: 0, place, risk: None, started: false };
+        let Past { attempts, risk } = m.past;
+        let held = Message { m, over, due, alarm: now, attempts, place: Place::Turn, risk, started: false };
         self.messages.insert(id, held);
         self.set_alarm(id);
+        if self.spent(&self.messages[&id]) {
+            return self.give_back(now, id, actions);
+        }
         match key {
             Some(key) => {
                 self.turns.entry(key.clone()).or_default().queue.push_back(id);
@@ -482,6 +483,12 @@
         }
     }
 
+    /// No further attempt is allowed, by count or because an unsafe one may have run.
+    fn spent(&self, m: &Message) -> bool {
+        let once = self.e.s.classes[m.m.class].effect == Effect::Unsafe;
+        (once && m.risk.is_some()) || m.attempts >= self.e.s.max_attempts
+    }
+
     fn set_alarm(&mut self, id: MessageId) {
         let alarm = self.sendable_until(&self.messages[&id]);
         let m = self.messages.get_mut(&id).expect("alarms are set for held messages");
@@ -493,8 +500,7 @@
     fn enqueue(&mut self, now: Micros, id: MessageId) {
         let m = self.messages.get_mut(&id).expect("only held messages are queued");
         m.place = Place::Lane;
-        let seed = &mut self.seed;
-        let new = || Dest { scope: Scope::new(now, seed), ..Dest::default() };
+        let new = || Dest { scope: Scope::new(now, &mut self.seed), ..Dest::default() };
         let d = self.dests.entry(m.m.dest).or_insert_with(new);
         d.lanes.entry((m.m.class, m.over)).or_default().insert((m.due, id));
         self.waiting.insert(m.m.dest);
@@ -631,9 +637,8 @@
         let e = self.e.clone();
         let few = (e.s.senders as f64 / KEEP_SENDERS).min(1.0);
         for target in std::mem::take(&mut self.used) {
-            let t = &self.targets[&target];
-            let scope =
-                if self.dests[&t.dest].kind.routes_apart { &t.scope } else { &self.dests[&t.dest].scope };
+            let (t, d) = (&self.targets[&target], &self.dests[&self.targets[&target].dest]);
+            let scope = if d.kind.routes_apart { &t.scope } else { &d.scope };
             let busy = scope.own_rate(now, &e) * scope.usual / SECOND;
             if now < self.crowded_until && busy < few && !t.idle.is_empty() {
                 self.targets.get_mut(&target).expect("just seen").idle.clear();
@@ -645,8 +650,7 @@
     /// A hang brings no outcomes: it shows in the age of calls still out.
     fn watch(&mut self, dest: DestId, now: Micros) {
         let (e, d) = (self.e.clone(), self.dests.get_mut(&dest).expect("waiting destinations are known"));
-        let routes = d.targets.iter().copied().collect::<Vec<_>>();
-        for target in routes {
+        for target in d.targets.iter().copied().collect::<Vec<_>>() {
             let scope = self.scope(dest, target);
             if scope.overdue(now, &e) >= HUNG_CALLS {
                 scope.enter_outage(now, &e);
@@ -749,8 +753,7 @@
             if let Some(t) = key.as_ref().and_then(|k| self.turns.get_mut(k)) {
                 t.out += 1;
             }
-            let class = m.m.class;
-            let a = Attempt { call, target, dest, class, sent: now, called_off: false, key };
+            let a = Attempt { call, target, dest, class: m.m.class, sent: now, called_off: false, key };
             self.attempts.insert((id, m.attempts), a);
             m.attempts += 1;
             travelling += 1;
@@ -807,9 +810,7 @@
         m.place = Place::Turn;
         self.set_alarm(id);
         let m = &self.messages[&id];
-        let c = &e.s.classes[m.m.class];
-        let left = e.s.max_attempts.saturating_sub(m.attempts);
-        if left == 0 || now >= m.alarm || (m.risk.is_some() && c.effect == Effect::Unsafe) {
+        if now >= m.alarm || self.spent(m) {
             return self.give_back(now, id, actions);
         }
         let step = (e.aim as Micros / RETRY_PART) << (m.attempts - 1).min(4);
--- /dev/null
+++ b/src/net/calls.rs
@@ -0,0 +1,300 @@
+//! Calls to targets: one connection carries one call at a time, and each message in it gets its outcome.
+
+use crate::api::{MessageId, Micros, Outcome, Report, TargetId};
+use crate::net::http::{self, Broken, Connection};
+use crate::net::node::Input;
+use crate::wire::read_report;
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::time::Duration;
+use tokio::sync::mpsc::{Receiver, Sender};
+use tokio::time::{Instant, sleep_until, timeout};
+
+/// Longest answer that is read.
+const ANSWER_MOST: usize = 64 << 10;
+/// How long the rest of an answer may take whose outcome is known; the connection is given up after that.
+const REST: Duration = Duration::from_millis(200);
+
+/// One message in a call.
+pub(crate) struct Item {
+    pub(crate) id: MessageId,
+    pub(crate) attempt: usize,
+    pub(crate) name: String,
+    pub(crate) key: Option<String>,
+    pub(crate) body: Bytes,
+    /// The wait for it ends then.
+    pub(crate) until: Instant,
+}
+
+/// A call to make.
+pub(crate) struct Call {
+    pub(crate) target: TargetId,
+    pub(crate) to: SocketAddr,
+    pub(crate) items: Vec<Item>,
+    pub(crate) idle: Option<Connection>,
+    pub(crate) connect_timeout: Duration,
+    /// Attempts that are called off.
+    pub(crate) called_off: Receiver<(MessageId, usize)>,
+    pub(crate) node: Sender<Input>,
+}
+
+/// How an attempt ended.
+pub(crate) struct Ended {
+    pub(crate) id: MessageId,
+    pub(crate) attempt: usize,
+    pub(crate) outcome: Outcome,
+    /// Nothing more is owed for the message.
+    pub(crate) finished: bool,
+    pub(crate) report: Option<Report>,
+}
+
+/// News of a call: attempts that ended, and its connection if it can be used again.
+pub(crate) struct CallNews {
+    pub(crate) target: TargetId,
+    pub(crate) ended: Vec<Ended>,
+    pub(crate) connection: Option<Connection>,
+}
+
+/// Makes the call and tells the node of its outcomes.
+pub(crate) async fn make(mut call: Call) {
+    let mut connection = call.idle.take();
+    let mut waiting = std::mem::take(&mut call.items);
+    let Some(request) = request(&waiting, call.to) else { return };
+    let mut given_up = Vec::new();
+    let answer = {
+        let mut exchange = pin!(exchange(&mut connection, call.to, call.connect_timeout, request));
+        loop {
+            let Some(until) = waiting.iter().map(|i| i.until).min() else { break None };
+            tokio::select! {
+                answer = &mut exchange => break Some(answer),
+                () = sleep_until(until) => {
+                    let now = Instant::now();
+                    part(&mut waiting, &mut given_up, Outcome::TimedOut, |i| i.until <= now);
+                }
+                Some((id, attempt)) = call.called_off.recv() => {
+                    part(&mut waiting, &mut given_up, Outcome::Cancelled, |i| (i.id, i.attempt) == (id, attempt));
+                }
+            }
+            // The last of them is told of only when the connection is closed: it holds the slot till then.
+            if !waiting.is_empty() {
+                tell(&call, std::mem::take(&mut given_up), None).await;
+            }
+        }
+    };
+    let Some(answer) = answer else {
+        if let Some(open) = connection.take() {
+            open.close().await;
+        }
+        return tell(&call, given_up, None).await;
+    };
+    let ended = outcomes(&waiting, &answer);
+    let whole = match answer {
+        Ok(Answer { rest: Some(rest), .. }) => {
+            matches!(timeout(REST, http::body(rest, ANSWER_MOST)).await, Ok(Some(_)))
+        }
+        Ok(_) => true,
+        Err(_) => false,
+    };
+    tell(&call, ended, connection.filter(|_| whole)).await;
+}
+
+async fn tell(call: &Call, ended: Vec<Ended>, connection: Option<Connection>) {
+    // The node is gone only when the process ends.
+    let _ = call.node.send(Input::Call(CallNews { target: call.target, ended, connection })).await;
+}
+
+fn end(item: &Item, outcome: Outcome) -> Ended {
+    Ended { id: item.id, attempt: item.attempt, outcome, finished: false, report: None }
+}
+
+/// Moves those that meet the condition to the ended ones.
+fn part(waiting: &mut Vec<Item>, ended: &mut Vec<Ended>, outcome: Outcome, gone: impl Fn(&Item) -> bool) {
+    waiting.retain(|item| {
+        if gone(item) {
+            ended.push(end(item, outcome));
+        }
+        !gone(item)
+    });
+}
+
+#[derive(Serialize)]
+struct BatchItem<'a> {
+    id: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    key: Option<&'a str>,
+    body: String,
+}
+
+/// The request for one message or for several.
+fn request(items: &[Item], to: SocketAddr) -> Option<Request<Full<Bytes>>> {
+    let mut request = match items {
+        [] => return None,
+        [one] => single(one)?,
+        several => batch(several)?,
+    };
+    *request.method_mut() = Method::POST;
+    let wait = items.iter().map(|i| i.until).max()?.saturating_duration_since(Instant::now());
+    let wait = HeaderValue::from(u64::try_from(wait.as_millis()).unwrap_or(u64::MAX));
+    request.headers_mut().insert("req-deadline-ms", wait);
+    http::set_host(&mut request, to);
+    Some(request)
+}
+
+fn single(item: &Item) -> Option<Request<Full<Bytes>>> {
+    let mut request = Request::new(Full::new(item.body.clone()));
+    *request.uri_mut() = Uri::from_static("/hook");
+    request.headers_mut().insert("req-id", HeaderValue::from_str(&item.name).ok()?);
+    if let Some(key) = &item.key {
+        request.headers_mut().insert("idempotency-key", HeaderValue::from_str(key).ok()?);
+    }
+    Some(request)
+}
+
+fn batch(items: &[Item]) -> Option<Request<Full<Bytes>>> {
+    let list: Vec<BatchItem> = items
+        .iter()
+        .map(|i| BatchItem { id: &i.name, key: i.key.as_deref(), body: STANDARD.encode(&i.body) })
+        .collect();
+    let text = serde_json::to_vec(&list).ok()?;
+    let mut request = Request::new(Full::new(Bytes::from(text)));
+    *request.uri_mut() = Uri::from_static("/hook/batch");
+    request.headers_mut().insert("content-type", HeaderValue::from_static("application/json"));
+    Some(request)
+}
+
+/// What came back.
+struct Answer {
+    status: StatusCode,
+    wait: Option<Micros>,
+    no_slot: bool,
+    report: Option<Report>,
+    /// The body, where it tells of each message.
+    states: Option<Bytes>,
+    /// The body, where it is of no use.
+    rest: Option<Incoming>,
+}
+
+/// Without an answer: whether the call may have run.
+#[derive(Clone, Copy)]
+enum Silence {
+    NeverRan,
+    MayHaveRun,
+}
+
+async fn exchange(
+    connection: &mut Option<Connection>,
+    to: SocketAddr,
+    connect_timeout: Duration,
+    request: Request<Full<Bytes>>,
+) -> Result<Answer, Silence> {
+    let several = request.uri().path() == "/hook/batch";
+    let mut request = Box::new(request);
+    loop {
+        let reused = connection.is_some();
+        if !reused {
+            let opened = Connection::open(to, connect_timeout).await;
+            *connection = Some(opened.map_err(|_| Silence::NeverRan)?);
+        }
+        let Some(open) = connection else { return Err(Silence::NeverRan) };
+        match open.send(*request).await {
+            Ok(response) => return read(response, several).await,
+            // The idle connection had been closed before a byte was written: the call opens another one.
+            Err(Broken::Unsent(unsent)) if reused => (request, *connection) = (unsent, None),
+            Err(Broken::Unsent(_)) => return Err(Silence::NeverRan),
+            Err(Broken::InDoubt) => return Err(Silence::MayHaveRun),
+        }
+    }
+}
+
+async fn read(response: Response<Incoming>, several: bool) -> Result<Answer, Silence> {
+    let headers = response.headers();
+    let mut answer = Answer {
+        status: response.status(),
+        wait: text(headers, "wait-ms").and_then(wait),
+        no_slot: text(headers, "slots-taken") == Some("1"),
+        report: text(headers, "srv-load").and_then(report),
+        states: None,
+        rest: None,
+    };
+    if several && answer.status == StatusCode::OK {
+        let states = http::body(response.into_body(), ANSWER_MOST).await;
+        answer.states = Some(states.ok_or(Silence::MayHaveRun)?);
+    } else {
+        answer.rest = Some(response.into_body());
+    }
+    Ok(answer)
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|v| v.to_str().ok()).map(str::trim)
+}
+
+fn wait(ms: &str) -> Option<Micros> {
+    // A day is longer than any wait that makes sense, and short enough to add up.
+    ms.parse::<f64>().ok().filter(|ms| *ms > 0.0).map(|ms| (ms.min(86_400_000.0) * 1000.0) as Micros)
+}
+
+fn report(values: &str) -> Option<Report> {
+    read_report(values.split(',').filter_map(|pair| pair.trim().split_once('=')))
+}
+
+#[derive(Deserialize)]
+struct ItemState {
+    id: String,
+    state: String,
+}
+
+/// The outcome of each message that is still waited for.
+fn outcomes(waiting: &[Item], answer: &Result<Answer, Silence>) -> Vec<Ended> {
+    let answer = match answer {
+        Ok(answer) => answer,
+        Err(Silence::NeverRan) => return waiting.iter().map(|i| end(i, Outcome::ConnectFailed)).collect(),
+        Err(Silence::MayHaveRun) => return waiting.iter().map(|i| end(i, Outcome::Reset)).collect(),
+    };
+    // Item by item, so that one that can't be read does not hide the others.
+    let states: Vec<ItemState> = answer
+        .states
+        .as_ref()
+        .and_then(|text| serde_json::from_slice::<Vec<serde_json::Value>>(text).ok())
+        .unwrap_or_default()
+        .into_iter()
+        .filter_map(|item| serde_json::from_value(item).ok())
+        .collect();
+    let ended = waiting.iter().map(|item| {
+        let state = states.iter().find(|s| s.id == item.name).map(|s| s.state.as_str());
+        let (outcome, finished) = outcome(answer, state);
+        Ended { finished, report: answer.report, ..end(item, outcome) }
+    });
+    ended.collect()
+}
+
+/// The outcome, and whether the message is over.
+fn outcome(answer: &Answer, state: Option<&str>) -> (Outcome, bool) {
+    let full = Outcome::Full { wait: answer.wait };
+    match answer.status {
+        StatusCode::OK if answer.states.is_some() => match state {
+            Some("accepted") => (Outcome::Delivered, true),
+            Some("deferred") => (full, false),
+            Some("expired") => (Outcome::NotSent, true),
+            Some("no_more") => (Outcome::NotSent, false),
+            // A fault, or nothing that can be read: it may have run.
+            _ => (Outcome::Error, false),
+        },
+        StatusCode::OK => (Outcome::Delivered, true),
+        StatusCode::SERVICE_UNAVAILABLE if answer.no_slot => (Outcome::NotSent, false),
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => (full, false),
+        StatusCode::GONE => (Outcome::NotSent, true),
+        StatusCode::GATEWAY_TIMEOUT | StatusCode::BAD_REQUEST | StatusCode::PAYLOAD_TOO_LARGE => {
+            (Outcome::NotSent, false)
+        }
+        _ => (Outcome::Error, false),
+    }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,57 @@
+//! The real forwarder: the decision module on sockets.
+
+mod calls;
+mod config;
+mod discovery;
+mod http;
+mod intake;
+mod journal;
+mod node;
+mod notices;
+
+pub use config::{Config, ConfigError};
+
+use intake::{Intake, Phase};
+use node::{Input, Node};
+use std::io;
+use std::sync::Arc;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{mpsc, watch};
+
+/// What may wait for the node at a time.
+const INPUTS: usize = 1024;
+
+/// Why the forwarder ended before it was told to.
+#[derive(Debug, thiserror::Error)]
+pub enum RunError {
+    /// The journal cannot be opened.
+    #[error("journal: {0}")]
+    Journal(String),
+    /// A socket or a signal cannot be had.
+    #[error("{0}")]
+    Io(#[from] io::Error),
+}
+
+/// Runs until SIGTERM.
+pub async fn run(config: Config) -> Result<(), RunError> {
+    let (inputs, received) = mpsc::channel(INPUTS);
+    let (notices, batches) = mpsc::channel(1);
+    let node = Node::start(&config, notices, inputs.clone()).map_err(|e| RunError::Journal(e.to_string()))?;
+    tokio::spawn(discovery::watch(config.discovery, config.known.rev, inputs.clone()));
+    tokio::spawn(notices::send_all(config.discovery, batches, inputs.clone()));
+    let mut terminate = signal(SignalKind::terminate())?;
+    let told = inputs.clone();
+    tokio::spawn(async move {
+        terminate.recv().await;
+        // The node is gone only when the process ends.
+        let _ = told.send(Input::Close).await;
+    });
+    let listener = TcpListener::bind(config.listen).await?;
+    let (phase, closing) = watch::channel(Phase::Open);
+    let intake = Intake { names: config.names, settings: config.settings, node: inputs, phase: closing };
+    let clients = (config.limits.sockets / 2).max(1);
+    let intake = tokio::spawn(intake::serve(listener, clients, Arc::new(intake)));
+    node.run(received, phase, intake).await;
+    Ok(())
+}
--- /dev/null
+++ b/src/net/node.rs
@@ -0,0 +1,627 @@
+//! The one owner of the decision module, its clock and the messages. It carries out what the module decides
+//! and reports what came of it; it decides nothing itself.
+
+use crate::api::{
+    Action, Ended, Entry, Event, Listing, MessageId, Micros, Outcome, Past, Settings, Submit, TargetId,
+};
+use crate::logic::Balancer;
+use crate::net::calls::{self, Call, CallNews, Item};
+use crate::net::config::Config;
+use crate::net::discovery::{List, State};
+use crate::net::http::Connection;
+use crate::net::intake::{Answer, HandedIn, Phase};
+use crate::net::journal::{End, Journal, JournalError, Open, Record, Taken};
+use crate::net::notices::{Notice, NoticeEnd};
+use crate::wire::{Names, index};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::mpsc::{Receiver, Sender, channel};
+use tokio::sync::{oneshot, watch};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep_until};
+
+/// After SIGTERM new clients go on coming for so long;
+const SERVE: Duration = Duration::from_millis(400);
+/// no call starts that could still be out at the end, where it would have to be taken for one that ran;
+const START_CALLS: Duration = Duration::from_millis(1500);
+/// and the process has ended before it is killed.
+const LAST_ANSWERS: Duration = Duration::from_millis(3200);
+const EXIT: Duration = Duration::from_millis(3500);
+/// How often the end is looked for.
+const CLOSING_STEP: Duration = Duration::from_millis(20);
+/// An idle connection is given up this part of `idleClose` early: a request must not cross its closing.
+const IDLE_MARGIN: u32 = 8;
+/// Notices in one request.
+const NOTICES_MOST: usize = 64;
+/// An end is remembered for a client that hands the same message in again; so many at the most.
+const ENDS_MOST: usize = 4096;
+
+/// What happens to the node.
+pub(crate) enum Input {
+    HandedIn(HandedIn),
+    Call(CallNews),
+    List(List),
+    /// These notices have been acknowledged.
+    Noticed(Vec<Notice>),
+    /// The process is to end.
+    Close,
+}
+
+/// The module's clock: monotonic, and tied to Unix time only where a moment crosses a restart.
+struct Clock {
+    start: Instant,
+}
+
+impl Clock {
+    fn now(&self) -> Micros {
+        self.micros(Instant::now())
+    }
+
+    fn micros(&self, at: Instant) -> Micros {
+        i64::try_from(at.saturating_duration_since(self.start).as_micros()).unwrap_or(Micros::MAX)
+    }
+
+    fn instant(&self, at: Micros) -> Instant {
+        self.start + Duration::from_micros(u64::try_from(at).unwrap_or(0))
+    }
+}
+
+/// Unix time in milliseconds.
+pub(crate) fn unix_now() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
+}
+
+struct Message {
+    taken: Taken,
+    give_up_at: Micros,
+    attempts: usize,
+    /// The client waits for this; gone once the message is taken on.
+    answer: Option<oneshot::Sender<Answer>>,
+}
+
+struct Target {
+    to: SocketAddr,
+    zone: String,
+    batch: usize,
+    idle: Vec<(Instant, Connection)>,
+}
+
+/// An attempt that is out.
+struct Out {
+    sent: Micros,
+    call: u64,
+}
+
+struct Send {
+    id: MessageId,
+    attempt: usize,
+    target: TargetId,
+    until: Micros,
+}
+
+/// Everything the forwarder knows.
+pub(crate) struct Node {
+    settings: Settings,
+    names: Names,
+    balancer: Balancer,
+    clock: Clock,
+    journal: Journal,
+    messages: HashMap<MessageId, Message>,
+    ids: HashMap<String, MessageId>,
+    next_id: MessageId,
+    /// How messages ended, and until when (Unix ms) that is worth knowing.
+    ends: HashMap<String, (End, u64)>,
+    targets: BTreeMap<TargetId, Target>,
+    uids: HashMap<String, TargetId>,
+    out: HashMap<(MessageId, usize), Out>,
+    /// Attempts still out of each call, and where to call them off.
+    calls: HashMap<u64, (usize, Sender<(MessageId, usize)>)>,
+    next_call: u64,
+    idle_most: usize,
+    owed: Vec<Notice>,
+    notices: Sender<Vec<Notice>>,
+    inputs: Sender<Input>,
+    actions: Vec<Action>,
+    /// What came of the last turn's actions themselves.
+    events: Vec<Event>,
+    wake: Option<Micros>,
+    closing: Option<Instant>,
+}
+
+impl Node {
+    /// Replays the journal and hands every open message back to the module.
+    pub(crate) fn start(
+        config: &Config,
+        notices: Sender<Vec<Notice>>,
+        inputs: Sender<Input>,
+    ) -> Result<Self, JournalError> {
+        // A little is left for the rounding of file sizes.
+        let limit = (config.limits.disk_mb * 0.95e6) as u64;
+        let (journal, replayed) = Journal::open(&config.state, limit, unix_now())?;
+        let mut node = Node {
+            settings: config.settings.clone(),
+            names: config.names.clone(),
+            balancer: Balancer::new(config.settings.clone(), config.seed),
+            clock: Clock { start: Instant::now() },
+            journal,
+            messages: HashMap::new(),
+            ids: HashMap::new(),
+            next_id: 0,
+            ends: replayed.ends,
+            targets: BTreeMap::new(),
+            uids: HashMap::new(),
+            out: HashMap::new(),
+            calls: HashMap::new(),
+            next_call: 0,
+            idle_most: (config.limits.sockets / 4).max(1),
+            owed: Vec::new(),
+            notices,
+            inputs,
+            actions: Vec::new(),
+            events: Vec::new(),
+            wake: None,
+            closing: None,
+        };
+        let now = node.clock.now();
+        node.list(now, &config.known);
+        replayed.open.into_iter().for_each(|open| node.resume(now, open));
+        node.finish_turn(now, Vec::new());
+        Ok(node)
+    }
+
+    /// Takes turns until the process is to end. Turns are at least a round apart, as in the simulator.
+    pub(crate) async fn run(
+        mut self,
+        mut inputs: Receiver<Input>,
+        phase: watch::Sender<Phase>,
+        intake: JoinHandle<()>,
+    ) {
+        let round = Duration::from_micros(self.settings.round.max(1000) as u64);
+        let mut last = Instant::now();
+        loop {
+            let mut batch = Vec::new();
+            tokio::select! {
+                Some(input) = inputs.recv() => batch.push(input),
+                () = sleep_until(self.next_turn()) => {}
+            }
+            sleep_until(last + round).await;
+            while let Ok(input) = inputs.try_recv() {
+                batch.push(input);
+            }
+            last = Instant::now();
+            self.turn(batch);
+            if let Some(since) = self.closing {
+                let now = match since.elapsed() {
+                    age if self.may_shut(age) => Phase::Shut,
+                    _ => Phase::Closing,
+                };
+                phase.send_if_modified(|p| {
+                    *p < now && {
+                        *p = now;
+                        true
+                    }
+                });
+                if since.elapsed() > EXIT || (intake.is_finished() && self.journal.is_settled()) {
+                    intake.abort();
+                    return;
+                }
+            }
+        }
+    }
+
+    fn may_shut(&self, age: Duration) -> bool {
+        age >= LAST_ANSWERS
+            || (age >= SERVE && self.out.is_empty() && (age >= START_CALLS || self.messages.is_empty()))
+    }
+
+    fn next_turn(&self) -> Instant {
+        let now = Instant::now();
+        let far = now + if self.closing.is_some() { CLOSING_STEP } else { Duration::from_secs(1) };
+        if !self.events.is_empty() {
+            return now;
+        }
+        self.wake.map_or(far, |at| self.clock.instant(at).min(far))
+    }
+
+    fn turn(&mut self, batch: Vec<Input>) {
+        let now = self.clock.now();
+        for event in std::mem::take(&mut self.events) {
+            self.balancer.on_event(now, event, &mut self.actions);
+        }
+        let mut fresh = Vec::new();
+        for input in batch {
+            match input {
+                Input::HandedIn(message) => fresh.extend(self.hand_in(now, message)),
+                Input::Call(news) => self.call_news(now, news),
+                Input::List(list) => self.list(now, &list),
+                Input::Noticed(batch) => self.noticed(batch),
+                Input::Close => self.closing = self.closing.or(Some(Instant::now())),
+            }
+        }
+        if self.wake.is_some_and(|at| at <= now) {
+            self.wake = None;
+            self.balancer.on_event(now, Event::Wake, &mut self.actions);
+        }
+        self.finish_turn(now, fresh);
+    }
+
+    /// Lets the module decide, and carries that out: final answers, journal, acceptance, calls, notices.
+    fn finish_turn(&mut self, now: Micros, fresh: Vec<MessageId>) {
+        // Sends are decided at the end of a turn: without it, none start.
+        if self.closing.is_none_or(|since| since.elapsed() < START_CALLS) {
+            self.balancer.on_event(now, Event::TurnEnd, &mut self.actions);
+        }
+        let mut sends = Vec::new();
+        for action in std::mem::take(&mut self.actions) {
+            match action {
+                Action::Send { id, target, timeout } => sends.extend(self.prepare(now, id, target, timeout)),
+                Action::Refuse { id, wait } => {
+                    self.give_up(id, End::Refused, Some(wait).filter(|w| *w > 0));
+                }
+                Action::Fail { id } => self.give_up(id, End::Failed, None),
+                Action::Cancel { id, attempt } => self.cancel(id, attempt),
+                Action::Close { target } => {
+                    self.targets.get_mut(&target).into_iter().for_each(|t| t.idle.clear());
+                }
+                Action::Wake { at } => self.wake = Some(self.wake.map_or(at, |w| w.min(at))),
+                // The list is watched all the time.
+                Action::Subscribe => {}
+            }
+        }
+        self.commit(now, fresh, sends);
+        self.pass_on_notices();
+        let limit = self.idle_limit();
+        for target in self.targets.values_mut() {
+            target.idle.retain(|(since, c)| c.is_open() && since.elapsed() < limit);
+        }
+    }
+
+    fn idle_limit(&self) -> Duration {
+        let limit = Duration::from_micros(self.settings.idle_close.max(0) as u64);
+        limit - limit / IDLE_MARGIN
+    }
+
+    // ---- Intake ----
+
+    /// Gives a message to the module, unless its end is known or the forwarder holds all that it may.
+    fn hand_in(&mut self, now: Micros, message: HandedIn) -> Option<MessageId> {
+        let HandedIn { id: name, class, tenant, dest, key, body, deadline, answer } = message;
+        let known = match self.ends.get(&name) {
+            Some((End::Delivered, _)) => Some(Answer::Delivered),
+            Some((End::Failed, _)) => Some(Answer::Failed),
+            Some((End::Refused, _)) => Some(Answer::Refused(None)),
+            None if self.ids.contains_key(&name) => Some(Answer::Accepted),
+            None if self.messages.len() >= self.settings.open_cap => Some(Answer::Refused(None)),
+            None => None,
+        };
+        if let Some(known) = known {
+            // A client that has left needs no answer.
+            let _ = answer.send(known);
+            return None;
+        }
+        let give_up_at = self.clock.micros(deadline.into());
+        let left = u64::try_from((give_up_at - now) / 1000).unwrap_or(0);
+        let taken = Taken {
+            id: name,
+            class: self.names.classes[class].clone(),
+            tenant: tenant.map(|t| self.names.tenants[t].clone()),
+            dest,
+            key,
+            deadline: unix_now() + left,
+            body,
+        };
+        let message = Message { taken, give_up_at, attempts: 0, answer: Some(answer) };
+        Some(self.submit(now, message, class, tenant, Past::default()))
+    }
+
+    fn submit(
+        &mut self,
+        now: Micros,
+        message: Message,
+        class: usize,
+        tenant: Option<usize>,
+        past: Past,
+    ) -> MessageId {
+        let id = self.next_id;
+        self.next_id += 1;
+        let (dest, give_up_at) = (message.taken.dest, message.give_up_at);
+        self.ids.insert(message.taken.id.clone(), id);
+        self.messages.insert(id, message);
+        let submit = Submit { id, class, tenant, key: None, give_up_at, dest, past };
+        self.balancer.on_event(now, Event::Submit(submit), &mut self.actions);
+        id
+    }
+
+    /// Takes up a message of an earlier process.
+    fn resume(&mut self, now: Micros, open: Open) {
+        let Open { taken, attempts, owed } = open;
+        if let Some(end) = owed {
+            let kind = if end == NoticeEnd::GivenUp { End::Failed } else { End::Refused };
+            self.ends.insert(taken.id.clone(), (kind, taken.deadline));
+            return self.owed.push(Notice { message: taken.id, end });
+        }
+        let unix = unix_now();
+        let ago = |then: u64| (then as i64 - unix as i64).saturating_mul(1000);
+        let risk = attempts.iter().find(|a| a.may_have_run).map(|a| {
+            (now.saturating_add(ago(a.sent)), index(&self.names.zones, &a.zone).unwrap_or(usize::MAX))
+        });
+        let past = Past { attempts: attempts.len(), risk };
+        let class = index(&self.names.classes, &taken.class);
+        let tenant = taken.tenant.as_ref().and_then(|t| index(&self.names.tenants, t));
+        let give_up_at = now.saturating_add(ago(taken.deadline));
+        let message = Message { taken, give_up_at, attempts: past.attempts, answer: None };
+        match class {
+            Some(class) => drop(self.submit(now, message, class, tenant, past)),
+            // The settings know its class no longer: nothing may be promised about its effect.
+            None => {
+                let id = self.next_id;
+                self.next_id += 1;
+                self.ids.insert(message.taken.id.clone(), id);
+                self.messages.insert(id, message);
+                self.give_up(id, End::Failed, None);
+            }
+        }
+    }
+
+    /// The module's final answer: to the client while it waits, else by a notice.
+    fn give_up(&mut self, id: MessageId, end: End, wait: Option<Micros>) {
+        let Some(message) = self.messages.remove(&id) else { return };
+        self.ids.remove(&message.taken.id);
+        let wait = wait.and_then(|w| u64::try_from(w).ok());
+        if let Some(answer) = message.answer {
+            // A client that has left needs no answer.
+            let _ = answer.send(match end {
+                End::Refused => Answer::Refused(wait.map(Duration::from_micros)),
+                _ => Answer::Failed,
+            });
+            return;
+        }
+        let notice = match end {
+            End::Refused => NoticeEnd::HandedBack { retry_in_ms: wait.map(|w| w.div_ceil(1000)) },
+            _ => NoticeEnd::GivenUp,
+        };
+        let name = message.taken.id;
+        self.journal.note(&Record::Owed(name.clone(), notice), unix_now());
+        self.remember(name.clone(), end, message.taken.deadline);
+        self.owed.push(Notice { message: name, end: notice });
+    }
+
+    fn remember(&mut self, name: String, end: End, until: u64) {
+        if self.ends.len() >= ENDS_MOST {
+            let unix = unix_now();
+            self.ends.retain(|_, (_, until)| *until > unix);
+        }
+        if self.ends.len() < ENDS_MOST {
+            self.ends.insert(name, (end, until));
+        }
+    }
+
+    // ---- Journal ----
+
+    /// Writes the turn, then answers clients and starts calls. Without room, or if writing fails, nothing new
+    /// is taken on and nothing goes out.
+    fn commit(&mut self, now: Micros, fresh: Vec<MessageId>, sends: Vec<Send>) {
+        let unix = unix_now();
+        let (mut taken, mut records, mut bytes) = (Vec::new(), Vec::new(), 0);
+        for id in fresh {
+            let Some(message) = self.messages.get(&id) else { continue };
+            let more = bytes + message.taken.body.len();
+            if message.answer.as_ref().is_some_and(|a| a.is_closed())
+                || !self.journal.has_room(taken.len() + 1, more, unix)
+            {
+                self.turn_away(id);
+                continue;
+            }
+            bytes = more;
+            records.push(Record::Taken(message.taken.clone()));
+            taken.push(id);
+        }
+        for send in &sends {
+            if let Some(message) = self.messages.get(&send.id) {
+                let zone = self.targets[&send.target].zone.clone();
+                records.push(Record::Sent(message.taken.id.clone(), send.attempt, unix, zone));
+            }
+        }
+        if let Err(e) = self.journal.commit(&records, unix) {
+            eprintln!("node: {e}");
+            taken.into_iter().for_each(|id| self.turn_away(id));
+            return sends.iter().for_each(|s| self.not_sent(s));
+        }
+        for id in taken {
+            let answer = self.messages.get_mut(&id).and_then(|m| m.answer.take());
+            if answer.is_some_and(|a| a.send(Answer::Accepted).is_err()) {
+                self.client_left(id);
+            }
+        }
+        self.start_calls(now, sends);
+    }
+
+    /// Not taken on after all: the client is refused, if it has not left, and the module forgets the message.
+    fn turn_away(&mut self, id: MessageId) {
+        if let Some(message) = self.messages.remove(&id) {
+            self.ids.remove(&message.taken.id);
+            if let Some(answer) = message.answer {
+                let _ = answer.send(Answer::Refused(None));
+            }
+            self.events.push(Event::ClientLeft { id });
+        }
+    }
+
+    /// The client left before it heard that the message was taken on.
+    fn client_left(&mut self, id: MessageId) {
+        if let Some(message) = self.messages.remove(&id) {
+            self.ids.remove(&message.taken.id);
+            self.journal.note(&Record::Over(message.taken.id, End::Refused, 0), unix_now());
+            self.events.push(Event::ClientLeft { id });
+        }
+    }
+
+    fn not_sent(&mut self, send: &Send) {
+        self.events.push(Event::Ended(Ended {
+            id: send.id,
+            attempt: send.attempt,
+            outcome: Outcome::NotSent,
+            elapsed: 0,
+            finished: !self.messages.contains_key(&send.id),
+            report: None,
+        }));
+    }
+
+    // ---- Calls ----
+
+    fn prepare(&mut self, now: Micros, id: MessageId, target: TargetId, timeout: Micros) -> Option<Send> {
+        let message = self.messages.get_mut(&id)?;
+        let attempt = message.attempts;
+        message.attempts += 1;
+        let until = if timeout == 0 { message.give_up_at } else { now.saturating_add(timeout) };
+        Some(Send { id, attempt, target, until: until.min(message.give_up_at) })
+    }
+
+    /// Sends of one turn to one endpoint travel together, up to what its kind allows.
+    fn start_calls(&mut self, now: Micros, sends: Vec<Send>) {
+        let mut by_target: Vec<(TargetId, Vec<Send>)> = Vec::new();
+        for send in sends {
+            let most = self.targets.get(&send.target).map_or(1, |t| t.batch);
+            match by_target.iter_mut().rfind(|(t, group)| *t == send.target && group.len() < most) {
+                Some((_, group)) => group.push(send),
+                None => by_target.push((send.target, vec![send])),
+            }
+        }
+        by_target.into_iter().for_each(|(target, group)| self.start_call(now, target, group));
+    }
+
+    fn start_call(&mut self, now: Micros, target: TargetId, sends: Vec<Send>) {
+        let mut items = Vec::with_capacity(sends.len());
+        for send in sends {
+            let Some(message) = self.messages.get(&send.id) else {
+                self.not_sent(&send);
+                continue;
+            };
+            self.out.insert((send.id, send.attempt), Out { sent: now, call: self.next_call });
+            items.push(Item {
+                id: send.id,
+                attempt: send.attempt,
+                name: message.taken.id.clone(),
+                key: message.taken.key.clone(),
+                body: message.taken.body.clone(),
+                until: self.clock.instant(send.until),
+            });
+        }
+        let Some(t) = self.targets.get_mut(&target).filter(|_| !items.is_empty()) else { return };
+        let (call_off, called_off) = channel(items.len());
+        self.calls.insert(self.next_call, (items.len(), call_off));
+        self.next_call += 1;
+        let connect_timeout = Duration::from_micros(self.settings.connect_timeout.max(1000) as u64);
+        let call = Call {
+            target,
+            to: t.to,
+            items,
+            idle: t.idle.pop().map(|(_, connection)| connection),
+            connect_timeout,
+            called_off,
+            node: self.inputs.clone(),
+        };
+        tokio::spawn(calls::make(call));
+    }
+
+    fn cancel(&mut self, id: MessageId, attempt: usize) {
+        let call = self.out.get(&(id, attempt)).and_then(|out| self.calls.get(&out.call));
+        if let Some((_, call_off)) = call {
+            // Full or closed: its outcome is on its way.
+            let _ = call_off.try_send((id, attempt));
+        }
+    }
+
+    fn call_news(&mut self, now: Micros, news: CallNews) {
+        let idle: usize = self.targets.values().map(|t| t.idle.len()).sum();
+        if let Some(connection) = news.connection
+            && let Some(target) = self.targets.get_mut(&news.target)
+            && idle < self.idle_most
+        {
+            target.idle.push((Instant::now(), connection));
+        }
+        for ended in news.ended {
+            self.ended(now, ended);
+        }
+    }
+
+    fn ended(&mut self, now: Micros, ended: calls::Ended) {
+        let calls::Ended { id, attempt, outcome, finished, report } = ended;
+        let Some(out) = self.out.remove(&(id, attempt)) else { return };
+        if let Some((left, _)) = self.calls.get_mut(&out.call) {
+            *left -= 1;
+            if *left == 0 {
+                self.calls.remove(&out.call);
+            }
+        }
+        let unix = unix_now();
+        if finished && let Some(message) = self.messages.remove(&id) {
+            let Taken { id: name, deadline, .. } = message.taken;
+            self.ids.remove(&name);
+            let end = if outcome == Outcome::Delivered { End::Delivered } else { End::Failed };
+            self.journal.note(&Record::Over(name.clone(), end, deadline), unix);
+            self.remember(name, end, deadline);
+        } else if let Some(message) = self.messages.get(&id) {
+            let record = Record::Ended(message.taken.id.clone(), attempt, !outcome.never_ran());
+            self.journal.note(&record, unix);
+        }
+        let finished = !self.messages.contains_key(&id);
+        let ended = Ended { id, attempt, outcome, elapsed: now - out.sent, finished, report };
+        self.balancer.on_event(now, Event::Ended(ended), &mut self.actions);
+    }
+
+    // ---- Notices ----
+
+    /// One batch at a time, and only what stands in the journal: a client that was told to come again must
+    /// never meet the same message sent by the next process.
+    fn pass_on_notices(&mut self) {
+        if self.owed.is_empty() || !self.journal.is_settled() {
+            return;
+        }
+        if let Ok(room) = self.notices.try_reserve() {
+            room.send(self.owed.drain(..self.owed.len().min(NOTICES_MOST)).collect());
+        }
+    }
+
+    fn noticed(&mut self, batch: Vec<Notice>) {
+        let unix = unix_now();
+        for Notice { message, end } in batch {
+            let until = self.ends.get(&message).map_or(0, |(_, until)| *until);
+            let end = if end == NoticeEnd::GivenUp { End::Failed } else { End::Refused };
+            self.journal.note(&Record::Over(message, end, until), unix);
+        }
+    }
+
+    // ---- The list ----
+
+    fn list(&mut self, now: Micros, list: &List) {
+        let entries = list.targets.iter().map(|line| {
+            let next = self.uids.len() as TargetId;
+            let target = *self.uids.entry(line.uid.clone()).or_insert(next);
+            let kind = index(&self.names.kinds, &line.model).unwrap_or(usize::MAX);
+            let batch = self.settings.kinds.get(kind).map_or(1, |k| k.batch.max(1));
+            let new = || Target { to: line.endpoint, zone: line.az.clone(), batch, idle: Vec::new() };
+            let known = self.targets.entry(target).or_insert_with(new);
+            if known.to != line.endpoint || line.state == State::Terminated {
+                known.idle.clear();
+            }
+            (known.to, known.batch) = (line.endpoint, batch);
+            Entry {
+                target,
+                dest: line.pod_group,
+                zone: index(&self.names.zones, &line.az).unwrap_or(usize::MAX),
+                kind,
+                listing: match line.state {
+                    State::InService => Listing::Serving,
+                    State::Terminating => Listing::Draining,
+                    State::Terminated => Listing::Deleted,
+                },
+                weight: line.capacity_hint,
+            }
+        });
+        let entries: Vec<Entry> = entries.collect();
+        let event = if list.all { Event::ListWhole(entries) } else { Event::ListChanges(entries) };
+        self.balancer.on_event(now, event, &mut self.actions);
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -152,19 +152,38 @@
 }
 
 /// Names that the wire uses for what the interface numbers.
-#[derive(Default)]
-struct Names {
-    classes: Vec<String>,
-    tenants: Vec<String>,
-    zones: Vec<String>,
-    kinds: Vec<String>,
+#[derive(Clone, Default)]
+pub(crate) struct Names {
+    pub(crate) classes: Vec<String>,
+    pub(crate) tenants: Vec<String>,
+    pub(crate) zones: Vec<String>,
+    pub(crate) kinds: Vec<String>,
     report: Vec<String>,
 }
 
-fn index(names: &[String], name: &str) -> Option<usize> {
+/// The number that goes with a name.
+pub(crate) fn index(names: &[String], name: &str) -> Option<usize> {
     names.iter().position(|n| n == name)
 }
 
+/// Reads settings given as path and value, wherever they come from.
+pub(crate) fn settings_from(pairs: &[(String, String)]) -> Result<(Settings, Names), WireError> {
+    let pairs = pairs.iter().map(|(n, v)| (n.as_str(), v.as_str())).collect();
+    read_settings(&Conf { fields: Fields { line: 0, pairs } })
+}
+
+/// Reads what a destination tells of its limit, value by name; `None` where a value is no number.
+pub(crate) fn read_report<'a>(values: impl Iterator<Item = (&'a str, &'a str)>) -> Option<Report> {
+    let mut report = Report { limit: None };
+    for (name, value) in values {
+        let v = value.parse::<f64>().ok().filter(|v| v.is_finite())?;
+        if name == "x1" {
+            report.limit = Some(v).filter(|l| *l > 0.0);
+        }
+    }
+    Some(report)
+}
+
 fn owned(names: Vec<&str>) -> Vec<String> {
     names.into_iter().map(str::to_owned).collect()
 }
@@ -295,14 +314,8 @@
 
     fn report(&self, f: &Fields) -> Result<Option<Report>, WireError> {
         let Some(row) = f.get("healthInfo").filter(|r| !r.is_empty() && *r != "-") else { return Ok(None) };
-        let mut report = Report { limit: None };
-        for (name, value) in self.names.report.iter().zip(row.split(',')) {
-            let v: f64 = value.parse().map_err(|_| f.bad("healthInfo", format!("cannot read {value:?}")))?;
-            if name == "x1" {
-                report.limit = Some(v).filter(|l| *l > 0.0);
-            }
-        }
-        Ok(Some(report))
+        let values = self.names.report.iter().map(String::as_str).zip(row.split(','));
+        read_report(values).map(Some).ok_or_else(|| f.bad("healthInfo", format!("cannot read {row:?}")))
     }
 
     fn write(&mut self, number: u64, out: &mut String) {
@@ -429,6 +442,7 @@
                     key: f.get("partitionKey").filter(|k| !k.is_empty()).map(str::to_owned),
                     give_up_at: f.time("giveUpAt")?.ok_or_else(|| f.bad("giveUpAt", "missing"))?,
                     dest: f.int("calledNode")?,
+                    past: Past::default(),
                 });
                 let wire_id = f.need("ref")?.to_owned();
                 inst.ids.insert(wire_id.clone(), inst.next);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -83,12 +83,28 @@
 
     pub fn submit(&mut self, id: MessageId, class: usize, dest: DestId) -> Vec<Action> {
         let give_up_at = self.now + 16 * SEC;
-        self.turn(vec![Event::Submit(Submit { id, class, tenant: None, key: None, give_up_at, dest })])
+        self.turn(vec![Event::Submit(Submit {
+            id,
+            class,
+            tenant: None,
+            key: None,
+            give_up_at,
+            dest,
+            past: Past::default(),
+        })])
     }
 
     pub fn keyed(&mut self, id: MessageId, key: &str, dest: DestId) -> Vec<Action> {
         let (key, give_up_at) = (Some(key.to_owned()), self.now + 16 * SEC);
-        self.turn(vec![Event::Submit(Submit { id, class: 3, tenant: None, key, give_up_at, dest })])
+        self.turn(vec![Event::Submit(Submit {
+            id,
+            class: 3,
+            tenant: None,
+            key,
+            give_up_at,
+            dest,
+            past: Past::default(),
+        })])
     }
 
     pub fn ended(&mut self, id: MessageId, attempt: usize, outcome: Outcome, elapsed: Micros) -> Vec<Action> {
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -121,7 +121,15 @@
                 let key = (class == 3).then(|| format!("k{}", how % 3));
                 let give_up_at = self.now + 16 * SEC;
                 self.messages.insert(id, Msg { class, dest, key: key.clone(), give_up_at, ..Msg::default() });
-                self.turn(Event::Submit(Submit { id, class, tenant: None, key, give_up_at, dest }))
+                self.turn(Event::Submit(Submit {
+                    id,
+                    class,
+                    tenant: None,
+                    key,
+                    give_up_at,
+                    dest,
+                    past: Past::default(),
+                }))
             }
             3..7 => {
                 let open: Vec<_> =
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -104,7 +104,17 @@
 fn a_wait_told_to_one_message_of_a_batch_binds_at_once() {
     let mut rig = Rig::new(settings(), vec![entry(10, 1, 2)]);
     let give_up_at = rig.now + 16 * SEC;
-    let submit = |id| Event::Submit(Submit { id, class: 0, tenant: None, key: None, give_up_at, dest: 1 });
+    let submit = |id| {
+        Event::Submit(Submit {
+            id,
+            class: 0,
+            tenant: None,
+            key: None,
+            give_up_at,
+            dest: 1,
+            past: Past::default(),
+        })
+    };
     assert_eq!(sends(&rig.turn(vec![submit(1), submit(2)])).len(), 2);
     rig.ended(1, 0, Outcome::Full { wait: Some(2 * SEC) }, 10 * MS);
     rig.ended(2, 0, Outcome::Full { wait: None }, 10 * MS);
@@ -409,7 +419,15 @@
 fn a_client_with_less_patience_than_the_aim_is_on_time_until_it_leaves() {
     let mut rig = Rig::new(Settings { slots: 1, ..settings() }, vec![entry(10, 1, 0), entry(20, 2, 0)]);
     rig.submit(1, 0, 1);
-    let late = Submit { id: 2, class: 0, tenant: None, key: None, give_up_at: rig.now + 12 * SEC, dest: 1 };
+    let late = Submit {
+        id: 2,
+        class: 0,
+        tenant: None,
+        key: None,
+        give_up_at: rig.now + 12 * SEC,
+        dest: 1,
+        past: Past::default(),
+    };
     let brief = Submit { id: 3, give_up_at: rig.now + 2 * SEC, dest: 2, ..late.clone() };
     rig.turn(vec![Event::Submit(late), Event::Submit(brief)]);
     assert_eq!(sends(&rig.ended(1, 0, Outcome::Delivered, 100 * MS)), vec![(3, 20)]);
