--- a/src/net/journal.rs
+++ b/src/net/journal.rs
@@ -356,3 +356,168 @@
         self.order.iter().filter_map(|id| self.open.remove(id)).collect()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+    use std::env;
+    use std::sync::atomic::{AtomicUsize, Ordering};
+
+    struct Folder(PathBuf);
+
+    impl Folder {
+        fn new() -> Self {
+            static MADE: AtomicUsize = AtomicUsize::new(0);
+            let name =
+                format!("yarrowhill-journal-{}-{}", std::process::id(), MADE.fetch_add(1, Ordering::Relaxed));
+            let path = env::temp_dir().join(name);
+            fs::create_dir_all(&path).expect("a temporary folder");
+            Folder(path)
+        }
+    }
+
+    impl Drop for Folder {
+        fn drop(&mut self) {
+            let _ = fs::remove_dir_all(&self.0);
+        }
+    }
+
+    const LIMIT: u64 = 3 << 20;
+    const NOW: u64 = 1_800_000_000_000;
+
+    fn taken(id: &str, body: Vec<u8>) -> Record {
+        Record::Taken(Taken {
+            id: id.into(),
+            class: "auth-notice".into(),
+            tenant: None,
+            dest: 7,
+            key: Some("k".into()),
+            deadline: NOW + 1000,
+            body: body.into(),
+        })
+    }
+
+    fn record() -> impl Strategy<Value = Record> {
+        let id = "[a-c]";
+        prop_oneof![
+            (id, proptest::collection::vec(any::<u8>(), 0..40)).prop_map(|(id, body)| taken(&id, body)),
+            (id, 0..3usize, any::<u32>()).prop_map(|(id, n, at)| Record::Sent(
+                id,
+                n,
+                at.into(),
+                "hall-a".into()
+            )),
+            (id, 0..3usize, any::<bool>()).prop_map(|(id, n, ran)| Record::Ended(id, n, ran)),
+            id.prop_map(|id| Record::Owed(id, NoticeEnd::HandedBack { retry_in_ms: Some(5) })),
+            id.prop_map(|id| Record::Over(id, End::Delivered, NOW + 1000)),
+        ]
+    }
+
+    fn open_of(records: &[Record]) -> Vec<Open> {
+        let mut replay = Replay::default();
+        records.iter().for_each(|r| replay.apply(r.clone()));
+        replay.open()
+    }
+
+    proptest! {
+        /// Wherever the text is cut or damaged, what stands whole before that is read, and nothing else.
+        #[test]
+        fn a_cut_or_damaged_text_gives_its_whole_front(
+            records in proptest::collection::vec(record(), 0..12), cut in any::<prop::sample::Index>(), flip in any::<bool>()
+        ) {
+            let (mut text, mut ends) = (Vec::new(), vec![0]);
+            for r in &records {
+                put(r, &mut text);
+                ends.push(text.len());
+            }
+            let at = cut.index(text.len() + 1);
+            if flip && at < text.len() { text[at] ^= 1 } else { text.truncate(at) }
+            let whole = ends.iter().filter(|end| **end <= at).count() - 1;
+            let read: Vec<Record> = Frames(&text).map(|(r, _)| r).collect();
+            prop_assert_eq!(read, &records[..whole]);
+        }
+
+        /// Random bytes are never fatal.
+        #[test]
+        fn any_bytes_can_be_read(text in proptest::collection::vec(any::<u8>(), 0..200)) {
+            prop_assert_eq!(Frames(&text).map(|(_, size)| size).sum::<usize>() <= text.len(), true);
+        }
+
+        /// Opening again, with or without compacting, changes nothing of what is open.
+        #[test]
+        fn what_was_written_is_replayed(
+            records in proptest::collection::vec(record(), 0..20), compact in any::<bool>()
+        ) {
+            let folder = Folder::new();
+            let (mut journal, _) = Journal::open(&folder.0, LIMIT, NOW).expect("it opens");
+            for part in records.chunks(3) {
+                journal.commit(part, NOW).expect("there is room");
+            }
+            if compact {
+                journal.compact(NOW).expect("there is room");
+            }
+            let (_, replayed) = Journal::open(&folder.0, LIMIT, NOW).expect("it opens");
+            prop_assert_eq!(replayed.open, open_of(&records));
+        }
+    }
+
+    #[test]
+    fn compacting_keeps_the_files_small_and_drops_what_is_over() {
+        let folder = Folder::new();
+        let (mut journal, _) = Journal::open(&folder.0, LIMIT, NOW).expect("it opens");
+        journal.commit(&[taken("kept", vec![1; 100])], NOW).expect("there is room");
+        for n in 0..2000u64 {
+            let id = format!("m{n}");
+            journal.commit(&[taken(&id, vec![0; 400])], NOW + n).expect("there is room");
+            journal.note(&Record::Over(id, End::Delivered, NOW + n + 10), NOW + n);
+            assert!(journal.len <= COMPACT_FROM + 1024);
+        }
+        journal.commit(&[], NOW).expect("there is room");
+        let size = fs::metadata(&journal.path).expect("it is there").len();
+        assert_eq!(size, journal.len);
+        let (_, replayed) = Journal::open(&folder.0, LIMIT, NOW + 2005).expect("it opens");
+        assert_eq!(replayed.open.iter().map(|o| o.taken.id.as_str()).collect::<Vec<_>>(), ["kept"]);
+        assert!(replayed.ends.contains_key("m1999") && !replayed.ends.contains_key("m1000"));
+    }
+
+    #[test]
+    fn a_full_journal_keeps_room_for_the_ends_of_what_it_took() {
+        let folder = Folder::new();
+        let (mut journal, _) = Journal::open(&folder.0, 40_000, NOW).expect("it opens");
+        let mut held = Vec::new();
+        while journal.has_room(1, 500, NOW) {
+            let id = format!("m{}", held.len());
+            journal.commit(&[taken(&id, vec![0; 500])], NOW).expect("it said that there is room");
+            held.push(id);
+        }
+        assert!(held.len() > 2);
+        for id in held {
+            for attempt in 0..3 {
+                journal
+                    .commit(&[Record::Sent(id.clone(), attempt, NOW, "hall-a".into())], NOW)
+                    .expect("kept room");
+                journal.note(&Record::Ended(id.clone(), attempt, false), NOW);
+            }
+            journal.note(&Record::Over(id, End::Failed, 0), NOW);
+            journal.commit(&[], NOW).expect("kept room");
+        }
+        assert!(journal.has_room(1, 500, NOW));
+    }
+
+    #[test]
+    fn a_failed_write_leaves_nothing_behind_but_the_backlog() {
+        let folder = Folder::new();
+        let (mut journal, _) = Journal::open(&folder.0, LIMIT, NOW).expect("it opens");
+        journal.commit(&[taken("a", vec![])], NOW).expect("there is room");
+        journal.limit = journal.len;
+        journal.note(&Record::Over("a".into(), End::Delivered, NOW + 1), NOW);
+        assert!(journal.commit(&[taken("b", vec![])], NOW).is_err());
+        assert!(!journal.is_settled());
+        journal.limit = LIMIT;
+        journal.commit(&[], NOW).expect("there is room again");
+        assert!(journal.is_settled());
+        let (_, replayed) = Journal::open(&folder.0, LIMIT, NOW).expect("it opens");
+        assert!(replayed.open.is_empty() && replayed.ends.contains_key("a"));
+    }
+}
--- /dev/null
+++ b/tests/forwarder.rs
@@ -0,0 +1,404 @@
+//! The real program, end to end over loopback sockets.
+
+mod support;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde_json::{Value, json};
+use std::fs::{self, OpenOptions};
+use std::io::Write;
+use std::time::{Duration, Instant};
+use support::{Discovery, Forwarder, Stub, request, target};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+const QUIET: Duration = Duration::from_millis(150);
+
+struct World {
+    discovery: Discovery,
+    target: Stub,
+    forwarder: Forwarder,
+}
+
+/// One destination, 7, with one target.
+async fn world(model: &str, change: impl FnOnce(&mut Value)) -> World {
+    let (discovery, stub) = (Discovery::start().await, Stub::start().await);
+    let known = [target("t", stub.addr, 7, model, "in_service")];
+    let forwarder = Forwarder::start(&discovery, &known, change).await;
+    World { discovery, target: stub, forwarder }
+}
+
+async fn plain() -> World {
+    world("plain", |_| {}).await
+}
+
+#[tokio::test]
+async fn a_message_is_delivered_once_and_known_as_delivered() {
+    let mut w = plain().await;
+    assert_eq!(w.forwarder.hand_in("keyed", "m", 9000).await.status(), 202);
+    let call = w.target.next().await;
+    assert_eq!((call.path.as_str(), call.header("req-id")), ("/hook", "m"));
+    assert_eq!(call.header("idempotency-key"), "key-m");
+    assert_eq!(&call.body[..], b"\0body of m");
+    let wait: u64 = call.header("req-deadline-ms").parse().expect("whole milliseconds");
+    assert!((1..=9000).contains(&wait), "{wait}");
+    // Handed in again while it is open, it is taken on already.
+    assert_eq!(w.forwarder.hand_in("keyed", "m", 9000).await.status(), 202);
+    call.answer(200);
+    w.forwarder.until_delivered("keyed", "m").await;
+    w.forwarder.kill();
+    w.forwarder.restart().await;
+    assert_eq!(w.forwarder.hand_in("keyed", "m", 9000).await.status(), 200);
+    assert!(w.target.is_quiet(QUIET).await);
+    assert!(w.discovery.is_quiet(QUIET).await);
+}
+
+#[tokio::test]
+async fn a_connection_is_used_again() {
+    let mut w = plain().await;
+    for id in ["a", "b", "c"] {
+        w.forwarder.hand_in("keyed", id, 9000).await;
+        w.target.next().await.answer_with(200, &[], "means nothing");
+        w.forwarder.until_delivered("keyed", id).await;
+    }
+    assert_eq!(w.target.connections(), 1);
+}
+
+#[tokio::test]
+async fn sends_of_one_turn_travel_as_one_call_with_an_end_for_each() {
+    // Long turns, so that all but the first message fall into one.
+    let mut w = world("several", |c| c["settings"]["round"] = json!(400.0)).await;
+    w.forwarder.hand_in("unsafe", "first", 9000).await;
+    w.target.next().await.answer(200);
+    let f = &w.forwarder;
+    tokio::join!(
+        f.hand_in("unsafe", "taken", 9000),
+        f.hand_in("unsafe", "faulty", 9000),
+        f.hand_in("unsafe", "later", 9000),
+        f.hand_in("unsafe", "missing", 9000),
+    );
+    let call = w.target.next().await;
+    assert_eq!(call.path, "/hook/batch");
+    let items: Vec<Value> = serde_json::from_slice(&call.body).expect("an array");
+    assert_eq!(items.len(), 4);
+    for item in &items {
+        let id = item["id"].as_str().expect("an id");
+        assert_eq!(item["key"], json!(format!("key-{id}")));
+        assert_eq!(item["body"], json!(STANDARD.encode(format!("\0body of {id}"))));
+    }
+    let states = json!([{"id": "taken", "state": "accepted"}, {"id": "faulty", "state": "fault"},
+                        {"id": "later", "state": "deferred"}, {"nonsense": 1}]);
+    call.answer_with(200, &[], &states.to_string());
+    // The faulty one and the one without a state may have run: no more of them. The deferred one never ran.
+    let again = w.target.next().await;
+    assert_eq!((again.path.as_str(), again.header("req-id")), ("/hook", "later"));
+    again.answer(200);
+    let text = w.discovery.next_notice().await;
+    let mut given_up: Vec<Value> = String::from_utf8_lossy(&text.body)
+        .lines()
+        .map(|line| serde_json::from_str(line).expect("an object a line"))
+        .collect();
+    text.answer(204);
+    given_up.sort_by_key(|n| n["message"].to_string());
+    let notice = |id| json!({"message": id, "outcome": "given_up"});
+    assert_eq!(given_up, [notice("faulty"), notice("missing")]);
+    w.forwarder.until_delivered("unsafe", "taken").await;
+}
+
+#[tokio::test]
+async fn an_unsafe_message_that_may_have_run_is_given_up() {
+    let mut w = plain().await;
+    for (id, status) in [("error", Some(500)), ("odd", Some(302)), ("reset", None)] {
+        assert_eq!(w.forwarder.hand_in("unsafe", id, 9000).await.status(), 202);
+        let call = w.target.next().await;
+        assert_eq!(call.header("req-id"), id);
+        match status {
+            Some(status) => call.answer(status),
+            None => call.hang_up(),
+        }
+        assert_eq!(w.discovery.notice().await, json!({"message": id, "outcome": "given_up"}));
+    }
+    assert!(w.target.is_quiet(QUIET).await);
+}
+
+#[tokio::test]
+async fn a_keyed_message_that_may_have_run_is_repeated() {
+    let mut w = plain().await;
+    w.forwarder.hand_in("keyed", "m", 9000).await;
+    w.target.next().await.hang_up();
+    let again = w.target.next().await;
+    assert_eq!((again.header("req-id"), again.header("idempotency-key")), ("m", "key-m"));
+    again.answer(200);
+    w.forwarder.until_delivered("keyed", "m").await;
+}
+
+#[tokio::test]
+async fn an_unsafe_message_that_never_ran_goes_out_again() {
+    for (status, headers) in [(503, vec![]), (503, vec![("Slots-Taken", "1")]), (504, vec![])] {
+        let mut w = plain().await;
+        w.forwarder.hand_in("unsafe", "m", 9000).await;
+        w.target.next().await.answer_with(status, &headers, "");
+        w.target.next().await.answer(200);
+        w.forwarder.until_delivered("unsafe", "m").await;
+    }
+}
+
+#[tokio::test]
+async fn nothing_is_owed_for_a_message_that_the_target_calls_over() {
+    let mut w = plain().await;
+    w.forwarder.hand_in("unsafe", "m", 9000).await;
+    w.target.next().await.answer(410);
+    assert!(w.discovery.is_quiet(QUIET).await && w.target.is_quiet(QUIET).await);
+    assert_eq!(w.forwarder.hand_in("unsafe", "m", 9000).await.status(), 500);
+}
+
+#[tokio::test]
+async fn a_refused_connection_never_ran() {
+    let mut w = plain().await;
+    let gone = Stub::start().await.closed().await;
+    w.discovery.push(2, vec![target("t", gone, 7, "plain", "in_service")]);
+    w.forwarder.hand_in("unsafe", "first", 200).await;
+    // Refused, not given up: every attempt is known never to have run. It may have met the old address.
+    tokio::select! {
+        notice = w.discovery.notice() => assert_eq!(notice["outcome"], "handed_back"),
+        call = w.target.next() => call.answer(200),
+    }
+    w.forwarder.hand_in("unsafe", "m", 300).await;
+    let notice = w.discovery.notice().await;
+    assert_eq!((&notice["message"], &notice["outcome"]), (&json!("m"), &json!("handed_back")));
+}
+
+#[tokio::test]
+async fn a_wait_holds_for_every_message_there() {
+    let mut w = plain().await;
+    w.forwarder.hand_in("unsafe", "a", 9000).await;
+    let call = w.target.next().await;
+    let told = Instant::now();
+    call.answer_with(429, &[("Wait-Ms", "700")], "");
+    w.forwarder.hand_in("keyed", "b", 9000).await;
+    w.target.next().await.answer(200);
+    assert!(told.elapsed() >= Duration::from_millis(700), "{:?}", told.elapsed());
+    w.target.next().await.answer(200);
+}
+
+#[tokio::test]
+async fn a_draining_target_gets_nothing_new() {
+    let mut w = plain().await;
+    w.forwarder.hand_in("keyed", "before", 9000).await;
+    let out = w.target.next().await;
+    let mut next = Stub::start().await;
+    w.discovery.push(
+        2,
+        vec![
+            target("t", w.target.addr, 7, "plain", "terminating"),
+            target("u", next.addr, 7, "plain", "in_service"),
+        ],
+    );
+    // The list is heard in no time, but not at once: messages show when it has been.
+    for n in 0.. {
+        w.forwarder.hand_in("keyed", &format!("probe-{n}"), 9000).await;
+        let moved = tokio::select! {
+            call = next.next() => { call.answer(200); true }
+            call = w.target.next() => { call.answer(200); false }
+        };
+        if moved {
+            break;
+        }
+    }
+    for n in 0..5 {
+        w.forwarder.hand_in("keyed", &format!("after-{n}"), 9000).await;
+        next.next().await.answer(200);
+    }
+    // What was out may finish.
+    out.answer(200);
+    w.forwarder.until_delivered("keyed", "before").await;
+    assert!(w.target.is_quiet(QUIET).await);
+}
+
+#[tokio::test]
+async fn a_silent_call_ends_with_the_message_and_its_connection() {
+    let mut w = plain().await;
+    let start = Instant::now();
+    w.forwarder.hand_in("unsafe", "m", 500).await;
+    let call = w.target.next().await;
+    assert_eq!(w.discovery.notice().await, json!({"message": "m", "outcome": "given_up"}));
+    assert!(start.elapsed() < Duration::from_millis(800), "{:?}", start.elapsed());
+    call.closed().await;
+}
+
+#[tokio::test]
+async fn sigkill_loses_and_repeats_nothing() {
+    let mut w = plain().await;
+    w.forwarder.hand_in("keyed", "keyed", 20_000).await;
+    let keyed = w.target.next().await;
+    w.forwarder.hand_in("unsafe", "unsafe", 20_000).await;
+    let unsafe_ = w.target.next().await;
+    w.discovery.push(2, vec![target("t", w.target.addr, 7, "plain", "in_service")]);
+    w.forwarder.kill();
+    keyed.closed().await;
+    unsafe_.closed().await;
+    w.forwarder.restart().await;
+    // Both may have run: the keyed one is sent again, the unsafe one must not be.
+    assert_eq!(w.discovery.notice().await, json!({"message": "unsafe", "outcome": "given_up"}));
+    let again = w.target.next().await;
+    assert_eq!(again.header("req-id"), "keyed");
+    again.answer(200);
+    w.forwarder.until_delivered("keyed", "keyed").await;
+    w.forwarder.kill();
+    w.forwarder.restart().await;
+    assert!(w.target.is_quiet(QUIET).await && w.discovery.is_quiet(QUIET).await);
+}
+
+#[tokio::test]
+async fn a_message_whose_time_ran_out_between_two_processes_ends_at_once() {
+    let mut w = plain().await;
+    w.forwarder.hand_in("unsafe", "m", 700).await;
+    let call = w.target.next().await;
+    w.forwarder.kill();
+    call.closed().await;
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    w.forwarder.restart().await;
+    let restarted = Instant::now();
+    assert_eq!(w.discovery.notice().await["outcome"], "given_up");
+    assert!(restarted.elapsed() < Duration::from_secs(1));
+}
+
+#[tokio::test]
+async fn sigterm_lets_calls_finish_and_keeps_the_rest() {
+    let mut w = plain().await;
+    w.forwarder.hand_in("unsafe", "out", 20_000).await;
+    let out = w.target.next().await;
+    let start = Instant::now();
+    w.forwarder.terminate();
+    // New clients are still served, each by its last answer.
+    let last = async {
+        loop {
+            let ready = request(w.forwarder.addr, "GET", "/-/ready", &[], b"").await.expect("it serves");
+            if ready.headers().get("connection").is_some_and(|v| v == "close") {
+                return;
+            }
+        }
+    };
+    timeout(support::SOON, last).await.expect("it has heard the signal");
+    assert_eq!(w.forwarder.hand_in("keyed", "late", 20_000).await.status(), 202);
+    let late = w.target.next().await;
+    out.answer(200);
+    late.answer_with(503, &[("Wait-Ms", "3000")], "");
+    assert!(w.forwarder.exited().await.success());
+    assert!(start.elapsed() < Duration::from_millis(3700), "{:?}", start.elapsed());
+    w.forwarder.restart().await;
+    let again = w.target.next().await;
+    assert_eq!(again.header("req-id"), "late");
+    again.answer(200);
+    w.forwarder.until_delivered("keyed", "late").await;
+    assert_eq!(w.forwarder.hand_in("unsafe", "out", 20_000).await.status(), 200);
+    assert!(w.discovery.is_quiet(QUIET).await);
+}
+
+#[tokio::test]
+async fn a_torn_journal_is_cut_off() {
+    let mut w = plain().await;
+    w.forwarder.hand_in("keyed", "m", 20_000).await;
+    w.target.next().await.closed_after(|| w.forwarder.kill()).await;
+    let whole = fs::metadata(w.forwarder.journal()).expect("a journal").len();
+    let mut file = OpenOptions::new().append(true).open(w.forwarder.journal()).expect("a journal");
+    file.write_all(b"\x40\0\0\0torn").expect("it is writable");
+    w.forwarder.restart().await;
+    w.target.next().await.answer(200);
+    w.forwarder.until_delivered("keyed", "m").await;
+    let text = fs::read(w.forwarder.journal()).expect("a journal");
+    assert!(text.len() as u64 > whole && !text.windows(4).any(|part| part == b"torn"));
+}
+
+#[tokio::test]
+async fn without_room_in_the_journal_nothing_is_taken_on() {
+    let mut w = world("plain", |c| c["limits"]["disk_mb"] = json!(0.02)).await;
+    let mut refused = false;
+    for n in 0..50 {
+        let answer = w.forwarder.hand_in("keyed", &format!("m{n}"), 20_000).await;
+        refused |= answer.status() == 503;
+        assert!(answer.status() == 202 || answer.status() == 503);
+    }
+    assert!(refused);
+    let size = fs::metadata(w.forwarder.journal()).expect("a journal").len();
+    assert!(size <= 20_000, "{size}");
+    // What was taken on still goes out and ends.
+    w.target.next().await.answer(200);
+}
+
+#[tokio::test]
+async fn a_notice_is_owed_until_it_is_acknowledged() {
+    let mut w = plain().await;
+    w.forwarder.hand_in("unsafe", "m", 9000).await;
+    w.target.next().await.answer(500);
+    let first = w.discovery.next_notice().await.body_then(|c| c.answer(500));
+    let second = w.discovery.next_notice().await.body_then(|c| c.hang_up());
+    assert_eq!(first, second);
+    // A process that ends with the notice still owed leaves it to the next.
+    w.discovery.next_notice().await.closed_after(|| w.forwarder.kill()).await;
+    w.forwarder.restart().await;
+    assert_eq!(w.discovery.notice().await, json!({"message": "m", "outcome": "given_up"}));
+    assert!(w.discovery.is_quiet(QUIET).await && w.target.is_quiet(QUIET).await);
+}
+
+#[tokio::test]
+async fn bad_requests_are_told_so() {
+    let w = plain().await;
+    let good = [
+        ("Req-Id", "m"),
+        ("Req-Owner", "acme"),
+        ("Req-Deadline-Ms", "9000"),
+        ("Idempotency-Key", "k"),
+        ("Envelope", "dest=7"),
+    ];
+    let long = "x".repeat(200);
+    for (name, value) in [
+        ("Req-Id", None),
+        ("Req-Id", Some(long.as_str())),
+        ("Req-Owner", None),
+        ("Req-Owner", Some("nobody")),
+        ("Req-Deadline-Ms", None),
+        ("Req-Deadline-Ms", Some("soon")),
+        ("Req-Deadline-Ms", Some("99999999999999999999")),
+        ("Idempotency-Key", None),
+        ("Envelope", None),
+        ("Envelope", Some("dest=x")),
+    ] {
+        let headers: Vec<_> = good
+            .iter()
+            .filter_map(|(n, v)| if *n == name { value.map(|v| (*n, v)) } else { Some((*n, *v)) })
+            .collect();
+        let answer = request(w.forwarder.addr, "POST", "/keyed", &headers, b"").await.expect("an answer");
+        assert_eq!(answer.status(), 400, "{name}: {value:?}");
+    }
+    let status = async |method: &str, path: &str, body: &[u8]| {
+        request(w.forwarder.addr, method, path, &good, body).await.expect("an answer").status().as_u16()
+    };
+    assert_eq!(status("POST", "/unknown", b"").await, 400);
+    assert_eq!(status("POST", "/", b"").await, 404);
+    assert_eq!(status("POST", "/keyed/more", b"").await, 404);
+    assert_eq!(status("GET", "/keyed", b"").await, 404);
+    assert_eq!(status("POST", "/keyed", &vec![0; (64 << 10) + 1]).await, 413);
+    assert_eq!(status("POST", "/keyed", &vec![0; 64 << 10]).await, 202);
+}
+
+#[tokio::test]
+async fn slow_and_broken_clients_harm_nobody_else() {
+    let mut w = plain().await;
+    let mut slow = Vec::new();
+    for text in
+        ["POST /keyed HTTP/1.1\r\nReq-", "\0\0\0", "POST /keyed HTTP/1.1\r\nContent-Length: 9\r\n\r\nab"]
+    {
+        let mut client = TcpStream::connect(w.forwarder.addr).await.expect("it listens");
+        client.write_all(text.as_bytes()).await.expect("it reads");
+        slow.push(client);
+    }
+    assert_eq!(w.forwarder.hand_in("keyed", "m", 9000).await.status(), 202);
+    w.target.next().await.answer(200);
+    // In the end it hears that it is too slow, or loses its connection.
+    for mut client in slow {
+        let mut text = Vec::new();
+        let _ = timeout(support::SOON, client.read_to_end(&mut text)).await.expect("it is not kept for ever");
+    }
+}
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,348 @@
+//! Small loopback stand-ins for targets, discovery and clients, and the real program between them.
+#![allow(missing_docs)]
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{HeaderMap, Request, Response};
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+use std::{env, fs, io, process};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::AbortHandle;
+use tokio::time::{sleep, timeout};
+
+/// Longer than anything that a test waits for should take.
+pub const SOON: Duration = Duration::from_secs(10);
+
+/// A request that a stand-in got. Unless it is answered, its connection stays silent.
+pub struct Call {
+    pub path: String,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    reply: oneshot::Sender<Option<Response<Full<Bytes>>>>,
+}
+
+impl Call {
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or_default()
+    }
+
+    pub fn answer(self, status: u16) {
+        self.answer_with(status, &[], "");
+    }
+
+    pub fn answer_with(self, status: u16, headers: &[(&str, &str)], body: &str) {
+        let mut reply = Response::builder().status(status);
+        for (name, value) in headers {
+            reply = reply.header(*name, *value);
+        }
+        let _ = self.reply.send(reply.body(Full::new(Bytes::from(body.to_owned()))).ok());
+    }
+
+    /// Ends the connection without an answer.
+    pub fn hang_up(self) {
+        let _ = self.reply.send(None);
+    }
+
+    /// Keeps the body and does something with the rest.
+    pub fn body_then(self, then: impl FnOnce(Self)) -> Bytes {
+        let body = self.body.clone();
+        then(self);
+        body
+    }
+
+    /// Does something that closes the connection, and waits until it is closed.
+    pub async fn closed_after(self, act: impl FnOnce()) {
+        act();
+        self.closed().await;
+    }
+
+    /// Waits until the other side has closed the connection.
+    pub async fn closed(mut self) {
+        timeout(SOON, self.reply.closed()).await.expect("the call is given up");
+    }
+}
+
+/// An HTTP server whose answers the test gives.
+pub struct Stub {
+    pub addr: SocketAddr,
+    calls: mpsc::UnboundedReceiver<Call>,
+    accepted: Arc<AtomicUsize>,
+    listening: AbortHandle,
+}
+
+impl Stub {
+    pub async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let addr = listener.local_addr().expect("it is bound");
+        let (send, calls) = mpsc::unbounded_channel();
+        let accepted = Arc::new(AtomicUsize::new(0));
+        let count = accepted.clone();
+        let listening = tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                count.fetch_add(1, Ordering::Relaxed);
+                tokio::spawn(serve(stream, send.clone()));
+            }
+        });
+        Stub { addr, calls, accepted, listening: listening.abort_handle() }
+    }
+
+    /// Connections so far.
+    pub fn connections(&self) -> usize {
+        self.accepted.load(Ordering::Relaxed)
+    }
+
+    /// Listens no longer: an address where connections are refused.
+    pub async fn closed(self) -> SocketAddr {
+        self.listening.abort();
+        while TcpStream::connect(self.addr).await.is_ok() {
+            sleep(Duration::from_millis(1)).await;
+        }
+        self.addr
+    }
+
+    pub async fn next(&mut self) -> Call {
+        timeout(SOON, self.calls.recv()).await.expect("a call comes").expect("the stub lives")
+    }
+
+    /// Whether nothing has come for so long.
+    pub async fn is_quiet(&mut self, span: Duration) -> bool {
+        timeout(span, self.calls.recv()).await.is_err()
+    }
+}
+
+async fn serve(stream: TcpStream, calls: mpsc::UnboundedSender<Call>) {
+    let service = service_fn(|request: Request<Incoming>| async {
+        let (parts, body) = request.into_parts();
+        let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
+        let (reply, answer) = oneshot::channel();
+        let path = parts.uri.to_string();
+        let _ = calls.send(Call { path, headers: parts.headers, body, reply });
+        answer.await.ok().flatten().ok_or(io::Error::from(io::ErrorKind::ConnectionReset))
+    });
+    let _ = hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+}
+
+/// Discovery: holds watches until a list is pushed, and passes notices on to the test.
+pub struct Discovery {
+    pub addr: SocketAddr,
+    lists: mpsc::UnboundedSender<Value>,
+    notices: mpsc::UnboundedReceiver<Call>,
+}
+
+impl Discovery {
+    pub async fn start() -> Self {
+        let mut stub = Stub::start().await;
+        let addr = stub.addr;
+        let (lists, mut pushed) = mpsc::unbounded_channel::<Value>();
+        let (pass_on, notices) = mpsc::unbounded_channel();
+        tokio::spawn(async move {
+            let (mut watch, mut list): (Option<Call>, Option<Value>) = (None, None);
+            loop {
+                tokio::select! {
+                    Some(call) = stub.calls.recv() => match call.path.starts_with("/api/targets") {
+                        true => watch = Some(call),
+                        false => drop(pass_on.send(call)),
+                    },
+                    Some(new) = pushed.recv() => list = Some(new),
+                    else => return,
+                }
+                if let (Some(call), Some(new)) = (watch.take_if(|_| list.is_some()), list.as_ref()) {
+                    call.answer_with(200, &[], &new.to_string());
+                    list = None;
+                }
+            }
+        });
+        Discovery { addr, lists, notices }
+    }
+
+    pub fn push(&self, rev: u64, targets: Vec<Value>) {
+        let _ = self.lists.send(json!({"rev": rev, "all": false, "targets": targets}));
+    }
+
+    pub async fn next_notice(&mut self) -> Call {
+        timeout(SOON, self.notices.recv()).await.expect("a notice comes").expect("the stub lives")
+    }
+
+    /// The next notice, acknowledged.
+    pub async fn notice(&mut self) -> Value {
+        let call = self.next_notice().await;
+        assert_eq!(call.path, "/v1/notices");
+        let notice = serde_json::from_slice(&call.body).expect("one notice on a line");
+        call.answer(204);
+        notice
+    }
+
+    pub async fn is_quiet(&mut self, span: Duration) -> bool {
+        timeout(span, self.notices.recv()).await.is_err()
+    }
+}
+
+pub fn target(uid: &str, at: SocketAddr, dest: u64, model: &str, state: &str) -> Value {
+    json!({"uid": uid, "endpoint": at.to_string(), "az": "a", "model": model, "pod_group": dest,
+           "state": state, "capacity_hint": 50.0, "boot_ms": 0})
+}
+
+fn config(listen: SocketAddr, discovery: SocketAddr, known: &[Value]) -> Value {
+    let class = |name: &str, idempotency: &str| {
+        json!({"name": name, "idempotency": idempotency, "dedupScope": "all", "keyTtl": 15000.0,
+               "goalTime": 3000.0, "deadline": 28000.0, "worth": 1.0, "lateShare": 0.5})
+    };
+    json!({
+        "name": "n0", "listen": listen.to_string(), "discovery": discovery.to_string(),
+        "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 64, "disk_mb": 3},
+        "known": {"rev": 1, "all": true, "targets": known},
+        "settings": {
+            "classes": [class("keyed", "token"), class("unsafe", "side_effect")],
+            "kinds": ["plain", "several"], "zone": "a", "zones": ["a"], "peersTotal": 2,
+            "realms": [{"name": "acme", "quotaRps": 1000.0}],
+            "report": {"fields": ["x0", "x1"]}, "round": 5.0, "weights": "rough",
+            "familyInfo": {"batchByKind": [1, 20], "kindApart": [false, false], "slots": 16},
+            "limits": {"maxAttempts": 6, "openCap": 100, "connectTimeout": 1000.0, "idleClose": 5000.0,
+                       "retryAfter": true, "maxRetryAfter": 3000.0, "cancel": true},
+            "guarantees": {"fallMultiple": 2.0, "overloadFor": 3000.0, "startCapacity": 0.17,
+                           "warmAfter": 13000.0, "stopSendingWithin": 2000.0}
+        }
+    })
+}
+
+/// The real program, with a folder of its own.
+pub struct Forwarder {
+    pub addr: SocketAddr,
+    folder: PathBuf,
+    process: Child,
+}
+
+impl Forwarder {
+    /// Starts it with a configuration that may be changed, and waits until it is ready.
+    pub async fn start(discovery: &Discovery, known: &[Value], change: impl FnOnce(&mut Value)) -> Self {
+        static STARTED: AtomicUsize = AtomicUsize::new(0);
+        let number = STARTED.fetch_add(1, Ordering::Relaxed);
+        let folder = env::temp_dir().join(format!("yarrowhill-test-{}-{number}", process::id()));
+        fs::create_dir_all(folder.join("state")).expect("a temporary folder");
+        // An address of its own: nobody else takes the port between its choice and the start.
+        let pid = process::id();
+        let own = format!("127.{}.{}.{}:0", 1 + pid / 250 % 250, 1 + pid % 250, 1 + number);
+        let free = std::net::TcpListener::bind(own).expect("a free port");
+        let addr = free.local_addr().expect("it is bound");
+        drop(free);
+        let mut config = config(addr, discovery.addr, known);
+        change(&mut config);
+        fs::write(folder.join("config.json"), config.to_string()).expect("the folder is writable");
+        let process = spawn(&folder);
+        let forwarder = Forwarder { addr, folder, process };
+        forwarder.ready().await;
+        forwarder
+    }
+
+    async fn ready(&self) {
+        let ready = async {
+            while request(self.addr, "GET", "/-/ready", &[], b"").await.is_none_or(|r| r.status() != 200) {
+                sleep(Duration::from_millis(5)).await;
+            }
+        };
+        timeout(SOON, ready).await.expect("the forwarder gets ready");
+    }
+
+    pub async fn restart(&mut self) {
+        self.process = spawn(&self.folder);
+        self.ready().await;
+    }
+
+    /// SIGKILL.
+    pub fn kill(&mut self) {
+        self.process.kill().and_then(|()| self.process.wait()).expect("it was running");
+    }
+
+    pub fn terminate(&self) {
+        let pid = self.process.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &pid]).status().expect("kill runs").success());
+    }
+
+    pub async fn exited(&mut self) -> ExitStatus {
+        let exit = async {
+            loop {
+                match self.process.try_wait().expect("it can be waited for") {
+                    Some(status) => return status,
+                    None => sleep(Duration::from_millis(5)).await,
+                }
+            }
+        };
+        timeout(SOON, exit).await.expect("the forwarder ends")
+    }
+
+    pub fn journal(&self) -> PathBuf {
+        self.folder.join("state/journal")
+    }
+
+    /// Hands in a message for destination 7 and gives the answer.
+    pub async fn hand_in(&self, class: &str, id: &str, deadline_ms: u64) -> Response<Bytes> {
+        let deadline = deadline_ms.to_string();
+        let headers = [
+            ("Req-Id", id),
+            ("Req-Owner", "acme"),
+            ("Req-Deadline-Ms", &deadline),
+            ("Idempotency-Key", &format!("key-{id}")),
+            ("Envelope", "dest=7"),
+        ];
+        let body = format!("\0body of {id}");
+        let path = format!("/{class}");
+        request(self.addr, "POST", &path, &headers, body.as_bytes()).await.expect("an answer")
+    }
+
+    /// Hands the same message in until the forwarder says that it was delivered.
+    pub async fn until_delivered(&self, class: &str, id: &str) {
+        let delivered = async {
+            while self.hand_in(class, id, 1000).await.status() != 200 {
+                sleep(Duration::from_millis(5)).await;
+            }
+        };
+        timeout(SOON, delivered).await.expect("it is known as delivered");
+    }
+}
+
+impl Drop for Forwarder {
+    fn drop(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn spawn(folder: &std::path::Path) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_yarrowhill"))
+        .env("BALANCER_CONFIG", folder.join("config.json"))
+        .env("BALANCER_STATE", folder.join("state"))
+        .spawn()
+        .expect("the program starts")
+}
+
+/// One request on a connection of its own; `None` if no answer came.
+pub async fn request(
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> Option<Response<Bytes>> {
+    let stream = TcpStream::connect(to).await.ok()?;
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(connection);
+    let mut request = Request::builder().method(method).uri(path).header("Host", "api.internal");
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request.body(Full::new(Bytes::copy_from_slice(body))).ok()?;
+    let (parts, body) = sender.send_request(request).await.ok()?.into_parts();
+    Some(Response::from_parts(parts, body.collect().await.ok()?.to_bytes()))
+}
