Heed waits beside any outcome; one message for a request sent twice before its answer

Seen, by reading PROTOCOL against src/net: (1) a batch answered 200 with all accepted and a Wait-Ms lost the wait, calls.rs outcome() put it into Full alone and api::Ended had no place for it; (2) node.rs hand_in answered 202 to a request that came again while the first was undecided, though the module might refuse it; (3) clients, idle connections and slots together could pass 'sockets' when that is small, and one connection could buffer some 400 KB; (4) ends of a batch reached the module in list order, and it judges a call by the last: accepted last hid refusals. Mended: Ended.wait and logic.rs ended(); Message.clients; Sockets::share and max_buf_size; ends sorted. Tests: the two new end-to-end tests were seen to fail without (1) and (2); module test for api::Past.

--- a/src/api.rs
+++ b/src/api.rs
@@ -240,6 +240,9 @@
     pub finished: bool,
     /// What the destination told of its limit.
     pub report: Option<Report>,
+    /// How long nothing may be sent there, where that was told beside another outcome than
+    /// [`Outcome::Full`], which carries its own.
+    pub wait: Option<Micros>,
 }
 
 /// What happened.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -779,7 +779,8 @@
     fn ended(&mut self, now: Micros, end: Ended, actions: &mut Vec<Action>) {
         let Some(a) = self.attempts.remove(&(end.id, end.attempt)) else { return };
         // A wait told to one message binds every message there.
-        if let Outcome::Full { wait: Some(wait) } = end.outcome {
+        let full = if let Outcome::Full { wait } = end.outcome { wait } else { None };
+        if let Some(wait) = full.or(end.wait) {
             let scope = self.scope(a.dest, a.target);
             scope.wait_until = scope.wait_until.max(now + wait);
         }
--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -54,6 +54,8 @@
     /// Nothing more is owed for the message.
     pub(crate) finished: bool,
     pub(crate) report: Option<Report>,
+    /// A wait that was told, whatever the outcome.
+    pub(crate) wait: Option<Micros>,
 }
 
 /// News of a call: attempts that ended, and its connection if it can be used again.
@@ -112,7 +114,7 @@
 }
 
 fn end(item: &Item, outcome: Outcome) -> Ended {
-    Ended { id: item.id, attempt: item.attempt, outcome, finished: false, report: None }
+    Ended { id: item.id, attempt: item.attempt, outcome, finished: false, report: None, wait: None }
 }
 
 /// Moves those that meet the condition to the ended ones.
@@ -271,9 +273,19 @@
     let ended = waiting.iter().map(|item| {
         let state = states.iter().find(|s| s.id == item.name).map(|s| s.state.as_str());
         let (outcome, finished) = outcome(answer, state);
-        Ended { finished, report: answer.report, ..end(item, outcome) }
+        // A wait binds beside every outcome: it may come with messages that were all accepted.
+        Ended { finished, report: answer.report, wait: answer.wait, ..end(item, outcome) }
     });
-    ended.collect()
+    let mut ended: Vec<Ended> = ended.collect();
+    // The module judges a call by the last end that it hears of it: a few accepted messages must not hide
+    // that the rest were turned away or failed.
+    ended.sort_by_key(|e| match e.outcome {
+        Outcome::Delivered => 0,
+        Outcome::NotSent => 1,
+        Outcome::Full { .. } => 2,
+        _ => 3,
+    });
+    ended
 }
 
 /// The outcome, and whether the message is over.
--- a/src/net/intake.rs
+++ b/src/net/intake.rs
@@ -22,6 +22,8 @@
 
 /// Longest body.
 const BODY_MOST: usize = 64 << 10;
+/// What one connection may hold of unread bytes; many slow clients together stay far from the memory limit.
+const BUFFER: usize = 16 << 10;
 /// Longest id or key: both go into every record of the journal.
 const NAME_MOST: usize = 128;
 /// A message may not be deliverable for longer than this; it keeps sums of times far from overflow.
@@ -109,7 +111,7 @@
         async move { Ok::<_, Infallible>(intake.answer(request).await) }
     });
     let mut server = http1::Builder::new();
-    server.timer(TokioTimer::new()).header_read_timeout(READ);
+    server.timer(TokioTimer::new()).header_read_timeout(READ).max_buf_size(BUFFER);
     let mut connection = pin!(server.serve_connection(TokioIo::new(stream), service));
     // A client that breaks off harms nobody else.
     tokio::select! {
--- a/src/net/journal.rs
+++ b/src/net/journal.rs
@@ -43,12 +43,24 @@
     Sent(String, usize, u64, String),
     /// It ended: message, attempt and whether it may have run.
     Ended(String, usize, bool),
-    /// The module gave the message up; a notice is owed.
-    Owed(String, NoticeEnd),
+    /// The module gave the message up and a notice is owed; until when (Unix ms) that is worth remembering.
+    Owed(String, NoticeEnd, u64),
     /// Nothing more is owed: message, its end, and until when (Unix ms) that is worth remembering.
     Over(String, End, u64),
 }
 
+impl Record {
+    fn id(&self) -> &str {
+        match self {
+            Record::Taken(Taken { id, .. })
+            | Record::Sent(id, ..)
+            | Record::Ended(id, ..)
+            | Record::Owed(id, ..)
+            | Record::Over(id, ..) => id,
+        }
+    }
+}
+
 /// How a message ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum End {
@@ -57,6 +69,15 @@
     Refused,
 }
 
+impl From<NoticeEnd> for End {
+    fn from(end: NoticeEnd) -> Self {
+        match end {
+            NoticeEnd::GivenUp => End::Failed,
+            NoticeEnd::HandedBack { .. } => End::Refused,
+        }
+    }
+}
+
 /// An attempt found in the journal.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Attempt {
@@ -74,15 +95,6 @@
     pub(crate) owed: Option<NoticeEnd>,
 }
 
-/// What an earlier process left.
-#[derive(Debug, Default)]
-pub(crate) struct Replayed {
-    /// In the order taken.
-    pub(crate) open: Vec<Open>,
-    /// Ends that are worth remembering, and until when (Unix ms).
-    pub(crate) ends: HashMap<String, (End, u64)>,
-}
-
 /// Why a turn could not be written. Nothing of it stands in the file.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum JournalError {
@@ -108,8 +120,9 @@
 }
 
 impl Journal {
-    /// Opens the journal of the folder, cuts off a torn tail, and replays the rest.
-    pub(crate) fn open(folder: &Path, limit: u64, now: u64) -> Result<(Self, Replayed), JournalError> {
+    /// Opens the journal of the folder, cuts off a torn tail, and replays the rest: the open messages, in the
+    /// order taken.
+    pub(crate) fn open(folder: &Path, limit: u64, now: u64) -> Result<(Self, Vec<Open>), JournalError> {
         let path = folder.join("journal");
         // Left by a process that ended while it compacted; the old file still holds all.
         match fs::remove_file(folder.join("journal.new")) {
@@ -139,8 +152,7 @@
             eprintln!("journal: cut off {} bytes of a torn tail", text.len() as u64 - journal.len);
             journal.file.set_len(journal.len)?;
         }
-        let ends = journal.ends.clone();
-        Ok((journal, Replayed { open: replay.open(), ends }))
+        Ok((journal, replay.open()))
     }
 
     /// Notes what must be written with the next turn, or whenever writing succeeds again.
@@ -151,6 +163,11 @@
         self.book(record, size, now);
     }
 
+    /// How a message ended, if it did not long ago, and until when (Unix ms) that is worth remembering.
+    pub(crate) fn end_of(&self, id: &str) -> Option<(End, u64)> {
+        self.ends.get(id).copied()
+    }
+
     /// Whether all that was noted stands in the file.
     pub(crate) fn is_settled(&self) -> bool {
         self.backlog.is_empty()
@@ -227,17 +244,22 @@
         match record {
             Record::Over(id, end, until) => {
                 self.live_bytes -= self.live.remove(id).unwrap_or(0);
-                if self.ends.len() < ENDS_MOST && *until > now {
-                    self.ends.insert(id.clone(), (*end, *until));
-                }
-            }
-            Record::Taken(Taken { id, .. })
-            | Record::Sent(id, ..)
-            | Record::Ended(id, ..)
-            | Record::Owed(id, _) => {
-                *self.live.entry(id.clone()).or_default() += size;
-                self.live_bytes += size;
+                self.remember(id, *end, *until, now);
+                return;
             }
+            Record::Owed(id, end, until) => self.remember(id, (*end).into(), *until, now),
+            _ => {}
+        }
+        *self.live.entry(record.id().to_owned()).or_default() += size;
+        self.live_bytes += size;
+    }
+
+    fn remember(&mut self, id: &str, end: End, until: u64, now: u64) {
+        if self.ends.len() >= ENDS_MOST {
+            self.ends.retain(|_, (_, until)| *until > now);
+        }
+        if self.ends.len() < ENDS_MOST && until > now {
+            self.ends.insert(id.to_owned(), (end, until));
         }
     }
 
@@ -250,10 +272,7 @@
         for (record, size) in Frames(&text[..text.len().min(self.len as usize)]) {
             let keep = match &record {
                 Record::Over(id, ..) => self.ends.contains_key(id),
-                Record::Taken(Taken { id, .. })
-                | Record::Sent(id, ..)
-                | Record::Ended(id, ..)
-                | Record::Owed(id, _) => self.live.contains_key(id),
+                other => self.live.contains_key(other.id()),
             };
             if keep {
                 kept.extend_from_slice(&text[at..at + size]);
@@ -343,7 +362,7 @@
                     a.may_have_run = may_have_run;
                 }
             }
-            Record::Owed(id, end) => {
+            Record::Owed(id, end, _) => {
                 if let Some(open) = self.open.get_mut(&id) {
                     open.owed = Some(end);
                 }
@@ -409,7 +428,7 @@
                 "hall-a".into()
             )),
             (id, 0..3usize, any::<bool>()).prop_map(|(id, n, ran)| Record::Ended(id, n, ran)),
-            id.prop_map(|id| Record::Owed(id, NoticeEnd::HandedBack { retry_in_ms: Some(5) })),
+            id.prop_map(|id| Record::Owed(id, NoticeEnd::HandedBack { retry_in_ms: Some(5) }, NOW + 1000)),
             id.prop_map(|id| Record::Over(id, End::Delivered, NOW + 1000)),
         ]
     }
@@ -458,7 +477,7 @@
                 journal.compact(NOW).expect("there is room");
             }
             let (_, replayed) = Journal::open(&folder.0, LIMIT, NOW).expect("it opens");
-            prop_assert_eq!(replayed.open, open_of(&records));
+            prop_assert_eq!(replayed, open_of(&records));
         }
     }
 
@@ -476,9 +495,9 @@
         journal.commit(&[], NOW).expect("there is room");
         let size = fs::metadata(&journal.path).expect("it is there").len();
         assert_eq!(size, journal.len);
-        let (_, replayed) = Journal::open(&folder.0, LIMIT, NOW + 2005).expect("it opens");
-        assert_eq!(replayed.open.iter().map(|o| o.taken.id.as_str()).collect::<Vec<_>>(), ["kept"]);
-        assert!(replayed.ends.contains_key("m1999") && !replayed.ends.contains_key("m1000"));
+        let (again, replayed) = Journal::open(&folder.0, LIMIT, NOW + 2005).expect("it opens");
+        assert_eq!(replayed.iter().map(|o| o.taken.id.as_str()).collect::<Vec<_>>(), ["kept"]);
+        assert!(again.end_of("m1999").is_some() && again.end_of("m1000").is_none());
     }
 
     #[test]
@@ -517,7 +536,7 @@
         journal.limit = LIMIT;
         journal.commit(&[], NOW).expect("there is room again");
         assert!(journal.is_settled());
-        let (_, replayed) = Journal::open(&folder.0, LIMIT, NOW).expect("it opens");
-        assert!(replayed.open.is_empty() && replayed.ends.contains_key("a"));
+        let (again, replayed) = Journal::open(&folder.0, LIMIT, NOW).expect("it opens");
+        assert!(replayed.is_empty() && again.end_of("a").is_some());
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -22,6 +22,23 @@
 /// What may wait for the node at a time.
 const INPUTS: usize = 1024;
 
+/// Descriptors for all but clients and targets: standard streams, runtime, listener, journal, discovery.
+const OWN: usize = 20;
+
+/// How the descriptors are shared out, so that neither many clients nor many targets use up all of them.
+struct Sockets {
+    clients: usize,
+    /// Connections to targets without a call.
+    idle: usize,
+}
+
+impl Sockets {
+    fn share(config: &Config) -> Self {
+        let free = config.limits.sockets.saturating_sub(OWN.saturating_add(config.settings.slots));
+        Sockets { clients: (free * 2 / 3).max(1), idle: (free / 3).max(1) }
+    }
+}
+
 /// Why the forwarder ended before it was told to.
 #[derive(Debug, thiserror::Error)]
 pub enum RunError {
@@ -35,9 +52,11 @@
 
 /// Runs until SIGTERM.
 pub async fn run(config: Config) -> Result<(), RunError> {
+    let Sockets { clients, idle } = Sockets::share(&config);
     let (inputs, received) = mpsc::channel(INPUTS);
     let (notices, batches) = mpsc::channel(1);
-    let node = Node::start(&config, notices, inputs.clone()).map_err(|e| RunError::Journal(e.to_string()))?;
+    let node =
+        Node::start(&config, idle, notices, inputs.clone()).map_err(|e| RunError::Journal(e.to_string()))?;
     tokio::spawn(discovery::watch(config.discovery, config.known.rev, inputs.clone()));
     tokio::spawn(notices::send_all(config.discovery, batches, inputs.clone()));
     let mut terminate = signal(SignalKind::terminate())?;
@@ -50,7 +69,6 @@
     let listener = TcpListener::bind(config.listen).await?;
     let (phase, closing) = watch::channel(Phase::Open);
     let intake = Intake { names: config.names, settings: config.settings, node: inputs, phase: closing };
-    let clients = (config.limits.sockets / 2).max(1);
     let intake = tokio::spawn(intake::serve(listener, clients, Arc::new(intake)));
     node.run(received, phase, intake).await;
     Ok(())
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -34,8 +34,6 @@
 const IDLE_MARGIN: u32 = 8;
 /// Notices in one request.
 const NOTICES_MOST: usize = 64;
-/// An end is remembered for a client that hands the same message in again; so many at the most.
-const ENDS_MOST: usize = 4096;
 
 /// What happens to the node.
 pub(crate) enum Input {
@@ -76,8 +74,17 @@
     taken: Taken,
     give_up_at: Micros,
     attempts: usize,
-    /// The client waits for this; gone once the message is taken on.
-    answer: Option<oneshot::Sender<Answer>>,
+    /// Clients that wait for the answer; none once the message is taken on. A client that sends a request
+    /// once more on a new connection may meet itself: both must hear the same.
+    clients: Vec<oneshot::Sender<Answer>>,
+    taken_on: bool,
+}
+
+impl Message {
+    /// Tells whoever waits. False if nobody heard it.
+    fn answer(&mut self, answer: Answer) -> bool {
+        self.clients.drain(..).map(|client| client.send(answer)).filter(Result::is_ok).count() > 0
+    }
 }
 
 struct Target {
@@ -110,8 +117,6 @@
     messages: HashMap<MessageId, Message>,
     ids: HashMap<String, MessageId>,
     next_id: MessageId,
-    /// How messages ended, and until when (Unix ms) that is worth knowing.
-    ends: HashMap<String, (End, u64)>,
     targets: BTreeMap<TargetId, Target>,
     uids: HashMap<String, TargetId>,
     out: HashMap<(MessageId, usize), Out>,
@@ -133,12 +138,13 @@
     /// Replays the journal and hands every open message back to the module.
     pub(crate) fn start(
         config: &Config,
+        idle_most: usize,
         notices: Sender<Vec<Notice>>,
         inputs: Sender<Input>,
     ) -> Result<Self, JournalError> {
         // A little is left for the rounding of file sizes.
         let limit = (config.limits.disk_mb * 0.95e6) as u64;
-        let (journal, replayed) = Journal::open(&config.state, limit, unix_now())?;
+        let (journal, open) = Journal::open(&config.state, limit, unix_now())?;
         let mut node = Node {
             settings: config.settings.clone(),
             names: config.names.clone(),
@@ -148,13 +154,12 @@
             messages: HashMap::new(),
             ids: HashMap::new(),
             next_id: 0,
-            ends: replayed.ends,
             targets: BTreeMap::new(),
             uids: HashMap::new(),
             out: HashMap::new(),
             calls: HashMap::new(),
             next_call: 0,
-            idle_most: (config.limits.sockets / 4).max(1),
+            idle_most,
             owed: Vec::new(),
             notices,
             inputs,
@@ -165,7 +170,7 @@
         };
         let now = node.clock.now();
         node.list(now, &config.known);
-        replayed.open.into_iter().for_each(|open| node.resume(now, open));
+        open.into_iter().for_each(|open| node.resume(now, open));
         node.finish_turn(now, Vec::new());
         Ok(node)
     }
@@ -287,7 +292,13 @@
     /// Gives a message to the module, unless its end is known or the forwarder holds all that it may.
     fn hand_in(&mut self, now: Micros, message: HandedIn) -> Option<MessageId> {
         let HandedIn { id: name, class, tenant, dest, key, body, deadline, answer } = message;
-        let known = match self.ends.get(&name) {
+        if let Some(open) = self.ids.get(&name).and_then(|id| self.messages.get_mut(id))
+            && !open.taken_on
+        {
+            open.clients.push(answer);
+            return None;
+        }
+        let known = match self.journal.end_of(&name) {
             Some((End::Delivered, _)) => Some(Answer::Delivered),
             Some((End::Failed, _)) => Some(Answer::Failed),
             Some((End::Refused, _)) => Some(Answer::Refused(None)),
@@ -311,7 +322,7 @@
             deadline: unix_now() + left,
             body,
         };
-        let message = Message { taken, give_up_at, attempts: 0, answer: Some(answer) };
+        let message = Message { taken, give_up_at, attempts: 0, clients: vec![answer], taken_on: false };
         Some(self.submit(now, message, class, tenant, Past::default()))
     }
 
@@ -337,8 +348,6 @@
     fn resume(&mut self, now: Micros, open: Open) {
         let Open { taken, attempts, owed } = open;
         if let Some(end) = owed {
-            let kind = if end == NoticeEnd::GivenUp { End::Failed } else { End::Refused };
-            self.ends.insert(taken.id.clone(), (kind, taken.deadline));
             return self.owed.push(Notice { message: taken.id, end });
         }
         let unix = unix_now();
@@ -350,7 +359,8 @@
         let class = index(&self.names.classes, &taken.class);
         let tenant = taken.tenant.as_ref().and_then(|t| index(&self.names.tenants, t));
         let give_up_at = now.saturating_add(ago(taken.deadline));
-        let message = Message { taken, give_up_at, attempts: past.attempts, answer: None };
+        let message =
+            Message { taken, give_up_at, attempts: past.attempts, clients: Vec::new(), taken_on: true };
         match class {
             Some(class) => drop(self.submit(now, message, class, tenant, past)),
             // The settings know its class no longer: nothing may be promised about its effect.
@@ -366,12 +376,12 @@
 
     /// The module's final answer: to the client while it waits, else by a notice.
     fn give_up(&mut self, id: MessageId, end: End, wait: Option<Micros>) {
-        let Some(message) = self.messages.remove(&id) else { return };
+        let Some(mut message) = self.messages.remove(&id) else { return };
         self.ids.remove(&message.taken.id);
         let wait = wait.and_then(|w| u64::try_from(w).ok());
-        if let Some(answer) = message.answer {
+        if !message.taken_on {
             // A client that has left needs no answer.
-            let _ = answer.send(match end {
+            message.answer(match end {
                 End::Refused => Answer::Refused(wait.map(Duration::from_micros)),
                 _ => Answer::Failed,
             });
@@ -382,21 +392,10 @@
             _ => NoticeEnd::GivenUp,
         };
         let name = message.taken.id;
-        self.journal.note(&Record::Owed(name.clone(), notice), unix_now());
-        self.remember(name.clone(), end, message.taken.deadline);
+        self.journal.note(&Record::Owed(name.clone(), notice, message.taken.deadline), unix_now());
         self.owed.push(Notice { message: name, end: notice });
     }
 
-    fn remember(&mut self, name: String, end: End, until: u64) {
-        if self.ends.len() >= ENDS_MOST {
-            let unix = unix_now();
-            self.ends.retain(|_, (_, until)| *until > unix);
-        }
-        if self.ends.len() < ENDS_MOST {
-            self.ends.insert(name, (end, until));
-        }
-    }
-
     // ---- Journal ----
 
     /// Writes the turn, then answers clients and starts calls. Without room, or if writing fails, nothing new
@@ -407,7 +406,7 @@
         for id in fresh {
             let Some(message) = self.messages.get(&id) else { continue };
             let more = bytes + message.taken.body.len();
-            if message.answer.as_ref().is_some_and(|a| a.is_closed())
+            if message.clients.iter().all(|client| client.is_closed())
                 || !self.journal.has_room(taken.len() + 1, more, unix)
             {
                 self.turn_away(id);
@@ -429,9 +428,11 @@
             return sends.iter().for_each(|s| self.not_sent(s));
         }
         for id in taken {
-            let answer = self.messages.get_mut(&id).and_then(|m| m.answer.take());
-            if answer.is_some_and(|a| a.send(Answer::Accepted).is_err()) {
-                self.client_left(id);
+            if let Some(message) = self.messages.get_mut(&id) {
+                message.taken_on = true;
+                if !message.answer(Answer::Accepted) {
+                    self.client_left(id);
+                }
             }
         }
         self.start_calls(now, sends);
@@ -439,11 +440,9 @@
 
     /// Not taken on after all: the client is refused, if it has not left, and the module forgets the message.
     fn turn_away(&mut self, id: MessageId) {
-        if let Some(message) = self.messages.remove(&id) {
+        if let Some(mut message) = self.messages.remove(&id) {
             self.ids.remove(&message.taken.id);
-            if let Some(answer) = message.answer {
-                let _ = answer.send(Answer::Refused(None));
-            }
+            message.answer(Answer::Refused(None));
             self.events.push(Event::ClientLeft { id });
         }
     }
@@ -465,6 +464,7 @@
             elapsed: 0,
             finished: !self.messages.contains_key(&send.id),
             report: None,
+            wait: None,
         }));
     }
 
@@ -547,7 +547,7 @@
     }
 
     fn ended(&mut self, now: Micros, ended: calls::Ended) {
-        let calls::Ended { id, attempt, outcome, finished, report } = ended;
+        let calls::Ended { id, attempt, outcome, finished, report, wait } = ended;
         let Some(out) = self.out.remove(&(id, attempt)) else { return };
         if let Some((left, _)) = self.calls.get_mut(&out.call) {
             *left -= 1;
@@ -560,14 +560,13 @@
             let Taken { id: name, deadline, .. } = message.taken;
             self.ids.remove(&name);
             let end = if outcome == Outcome::Delivered { End::Delivered } else { End::Failed };
-            self.journal.note(&Record::Over(name.clone(), end, deadline), unix);
-            self.remember(name, end, deadline);
+            self.journal.note(&Record::Over(name, end, deadline), unix);
         } else if let Some(message) = self.messages.get(&id) {
             let record = Record::Ended(message.taken.id.clone(), attempt, !outcome.never_ran());
             self.journal.note(&record, unix);
         }
         let finished = !self.messages.contains_key(&id);
-        let ended = Ended { id, attempt, outcome, elapsed: now - out.sent, finished, report };
+        let ended = Ended { id, attempt, outcome, elapsed: now - out.sent, finished, report, wait };
         self.balancer.on_event(now, Event::Ended(ended), &mut self.actions);
     }
 
@@ -587,9 +586,8 @@
     fn noticed(&mut self, batch: Vec<Notice>) {
         let unix = unix_now();
         for Notice { message, end } in batch {
-            let until = self.ends.get(&message).map_or(0, |(_, until)| *until);
-            let end = if end == NoticeEnd::GivenUp { End::Failed } else { End::Refused };
-            self.journal.note(&Record::Over(message, end, until), unix);
+            let until = self.journal.end_of(&message).map_or(0, |(_, until)| until);
+            self.journal.note(&Record::Over(message, end.into(), until), unix);
         }
     }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -463,7 +463,7 @@
                 held.out = held.out.saturating_sub(1);
                 held.over |= finished;
                 closes = Some(id);
-                Event::Ended(Ended { id, attempt, outcome, elapsed, finished, report })
+                Event::Ended(Ended { id, attempt, outcome, elapsed, finished, report, wait: None })
             }
             "UNDER_WAY" => match known(inst)? {
                 Some(id) => Event::Started { id },
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -109,7 +109,15 @@
 
     pub fn ended(&mut self, id: MessageId, attempt: usize, outcome: Outcome, elapsed: Micros) -> Vec<Action> {
         let finished = outcome == Outcome::Delivered;
-        self.turn(vec![Event::Ended(Ended { id, attempt, outcome, elapsed, finished, report: None })])
+        self.turn(vec![Event::Ended(Ended {
+            id,
+            attempt,
+            outcome,
+            elapsed,
+            finished,
+            report: None,
+            wait: None,
+        })])
     }
 }
 
--- a/tests/forwarder.rs
+++ b/tests/forwarder.rs
@@ -182,6 +182,39 @@
     w.target.next().await.answer(200);
 }
 
+#[tokio::test]
+async fn a_wait_beside_accepted_messages_binds_too() {
+    let mut w = world("several", |c| c["settings"]["round"] = json!(200.0)).await;
+    w.forwarder.hand_in("unsafe", "first", 9000).await;
+    w.target.next().await.answer(200);
+    tokio::join!(w.forwarder.hand_in("unsafe", "a", 9000), w.forwarder.hand_in("unsafe", "b", 9000));
+    let call = w.target.next().await;
+    assert_eq!(call.path, "/hook/batch");
+    let told = Instant::now();
+    let states = json!([{"id": "a", "state": "accepted"}, {"id": "b", "state": "accepted"}]);
+    call.answer_with(200, &[("Wait-Ms", "900")], &states.to_string());
+    w.forwarder.until_delivered("unsafe", "a").await;
+    w.forwarder.hand_in("keyed", "c", 9000).await;
+    w.target.next().await.answer(200);
+    assert!(told.elapsed() >= Duration::from_millis(900), "{:?}", told.elapsed());
+}
+
+#[tokio::test]
+async fn a_request_sent_once_more_before_its_answer_is_one_message() {
+    let mut w = world("plain", |c| c["settings"]["round"] = json!(300.0)).await;
+    w.forwarder.hand_in("keyed", "first", 9000).await;
+    w.target.next().await.answer(200);
+    let f = &w.forwarder;
+    // Both hear the module's answer: for a message without time that it is refused.
+    let (a, b) = tokio::join!(f.hand_in("unsafe", "late", 0), f.hand_in("unsafe", "late", 0));
+    assert_eq!((a.status().as_u16(), b.status().as_u16()), (503, 503));
+    let (a, b) = tokio::join!(f.hand_in("unsafe", "m", 9000), f.hand_in("unsafe", "m", 9000));
+    assert_eq!((a.status().as_u16(), b.status().as_u16()), (202, 202));
+    w.target.next().await.answer(200);
+    w.forwarder.until_delivered("unsafe", "m").await;
+    assert!(w.target.is_quiet(QUIET).await);
+}
+
 #[tokio::test]
 async fn a_draining_target_gets_nothing_new() {
     let mut w = plain().await;
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -180,7 +180,15 @@
             *until = (*until).max(now + wait);
         }
         let finished = m.over;
-        self.turn(Event::Ended(Ended { id, attempt, outcome, elapsed: now - sent, finished, report: None }))
+        self.turn(Event::Ended(Ended {
+            id,
+            attempt,
+            outcome,
+            elapsed: now - sent,
+            finished,
+            report: None,
+            wait: None,
+        }))
     }
 }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -198,7 +198,15 @@
     let full = Outcome::Full { wait: None };
     rig.submit(1, 0, 1);
     let (id, attempt, elapsed) = (1, 0, 10 * MS);
-    rig.turn(vec![Event::Ended(Ended { id, attempt, outcome: full, elapsed, finished: false, report })]);
+    rig.turn(vec![Event::Ended(Ended {
+        id,
+        attempt,
+        outcome: full,
+        elapsed,
+        finished: false,
+        report,
+        wait: None,
+    })]);
     let (mut sent, end) = (0, rig.now + 4 * SEC);
     let mut tried = std::collections::BTreeMap::from([(1, 1)]);
     let mut next = 2;
@@ -290,7 +298,15 @@
     rig.submit(1, 0, 1);
     let report = Some(Report { limit: Some(1e-300) });
     let (outcome, elapsed) = (Outcome::Delivered, 10 * MS);
-    rig.turn(vec![Event::Ended(Ended { id: 1, attempt: 0, outcome, elapsed, finished: true, report })]);
+    rig.turn(vec![Event::Ended(Ended {
+        id: 1,
+        attempt: 0,
+        outcome,
+        elapsed,
+        finished: true,
+        report,
+        wait: None,
+    })]);
     for id in 2..5 {
         rig.submit(id, 0, 1);
     }
@@ -348,7 +364,15 @@
         rig.now += SEC;
         rig.submit(id, 0, 1);
         let (outcome, elapsed) = (Outcome::Delivered, 10 * MS);
-        rig.turn(vec![Event::Ended(Ended { id, attempt: 0, outcome, elapsed, finished: true, report })]);
+        rig.turn(vec![Event::Ended(Ended {
+            id,
+            attempt: 0,
+            outcome,
+            elapsed,
+            finished: true,
+            report,
+            wait: None,
+        })]);
     }
     rig.now += SEC;
     rig.submit(30, 0, 1);
@@ -444,7 +468,15 @@
         let report = Some(Report { limit: Some(50.0) });
         let (outcome, elapsed) = (Outcome::Full { wait: Some(4 * SEC) }, 10 * MS);
         rig.submit(1, 0, 1);
-        rig.turn(vec![Event::Ended(Ended { id: 1, attempt: 0, outcome, elapsed, finished: false, report })]);
+        rig.turn(vec![Event::Ended(Ended {
+            id: 1,
+            attempt: 0,
+            outcome,
+            elapsed,
+            finished: false,
+            report,
+            wait: None,
+        })]);
         rig.now += 4 * SEC;
         for id in 2..20 {
             let mut sent = sends(&rig.submit(id, 0, 1));
@@ -459,3 +491,27 @@
     // 2 x 0.2 of 50 calls a second over 18 s is 360.
     assert!((150..=380).contains(&trials), "{trials} trials");
 }
+
+/// A message of an earlier process comes back with what is known of it.
+fn resumed(class: usize, past: Past) -> Vec<Action> {
+    let mut rig = Rig::new(settings(), vec![entry(1, 1, 0)]);
+    let past = Past { risk: past.risk.map(|(ago, zone)| (rig.now - ago, zone)), ..past };
+    let give_up_at = rig.now + 9 * SEC;
+    rig.turn(vec![Event::Submit(Submit { id: 1, class, tenant: None, key: None, give_up_at, dest: 1, past })])
+}
+
+#[test]
+fn a_resumed_message_keeps_its_attempts_and_its_risk() {
+    let past = |attempts, ago: Option<Micros>| Past { attempts, risk: ago.map(|ago| (ago, 0)) };
+    let goes = |actions: &[Action]| !sends(actions).is_empty();
+    let fails = |actions: &[Action]| actions.contains(&Action::Fail { id: 1 });
+    // Never ran: it goes on, while it has attempts left; then it is handed back.
+    assert!(goes(&resumed(2, past(3, None))));
+    let spent = resumed(2, past(6, None));
+    assert!(!goes(&spent) && spent.iter().any(|a| matches!(a, Action::Refuse { id: 1, .. })));
+    // May have run: never again if unsafe, within its window if keyed, freely if safe.
+    assert!(fails(&resumed(2, past(1, Some(SEC)))));
+    assert!(goes(&resumed(1, past(1, Some(SEC)))));
+    assert!(fails(&resumed(1, past(1, Some(6 * SEC)))));
+    assert!(goes(&resumed(0, past(1, Some(6 * SEC)))));
+}
