--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -69,7 +69,11 @@
 pub(crate) async fn make(mut call: Call) {
     let mut connection = call.idle.take();
     let mut waiting = std::mem::take(&mut call.items);
-    let Some(request) = request(&waiting, call.to) else { return };
+    let Some(request) = request(&waiting, call.to) else {
+        // Whatever happens, the module hears of each attempt: one that never ends holds its slot for ever.
+        let ended = waiting.iter().map(|item| end(item, Outcome::NotSent)).collect();
+        return tell(&call, ended, connection).await;
+    };
     let mut given_up = Vec::new();
     let answer = {
         let mut exchange = pin!(exchange(&mut connection, call.to, call.connect_timeout, request));
