Do not write a call whose connection comes up during a wait

Seen, with a probe that became a test: a listener with a full queue holds a connection back; a wait of 5 s told by the destination's other endpoint was in force when the connection came up, and the call was written 1.0 s into it (tests/forwarder.rs a_call_whose_connection_comes_up_in_a_wait_is_not_written, failing without the mend). Cause: calls.rs exchange() opens for up to connectTimeout, and nothing reached a call between its start and its write but a call-off. Ruled out: the module (it had decided the send before the wait) and reused connections (written at once). Mended: node.rs hold() tells the calls of that destination; one not begun ends as not sent, which never ran. Conclusion: one way to break the rule on waits is shut.

--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -14,6 +14,7 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::pin::pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::sync::mpsc::{Receiver, Sender};
 use tokio::time::{Instant, sleep_until, timeout};
@@ -41,11 +42,19 @@
     pub(crate) items: Vec<Item>,
     pub(crate) idle: Option<Connection>,
     pub(crate) connect_timeout: Duration,
-    /// Attempts that are called off.
-    pub(crate) called_off: Receiver<(MessageId, usize)>,
+    /// What the node says to the call while it is out.
+    pub(crate) orders: Receiver<Order>,
     pub(crate) node: Sender<Input>,
 }
 
+/// What the node may still say to a call.
+pub(crate) enum Order {
+    /// This attempt is called off.
+    CallOff(MessageId, usize),
+    /// The destination told a wait: nothing may be written from now on.
+    Hold,
+}
+
 /// How an attempt ended.
 pub(crate) struct Ended {
     pub(crate) id: MessageId,
@@ -75,8 +84,10 @@
         return tell(&call, ended, connection).await;
     };
     let mut given_up = Vec::new();
+    let begun = AtomicBool::new(false);
     let answer = {
-        let mut exchange = pin!(exchange(&mut connection, call.to, call.connect_timeout, request));
+        let begun = &begun;
+        let mut exchange = pin!(exchange(&mut connection, call.to, call.connect_timeout, request, begun));
         loop {
             let Some(until) = waiting.iter().map(|i| i.until).min() else { break None };
             tokio::select! {
@@ -85,9 +96,18 @@
                     let now = Instant::now();
                     part(&mut waiting, &mut given_up, Outcome::TimedOut, |i| i.until <= now);
                 }
-                Some((id, attempt)) = call.called_off.recv() => {
-                    part(&mut waiting, &mut given_up, Outcome::Cancelled, |i| (i.id, i.attempt) == (id, attempt));
-                }
+                Some(order) = call.orders.recv() => match order {
+                    Order::CallOff(id, attempt) => {
+                        let named = |i: &Item| (i.id, i.attempt) == (id, attempt);
+                        part(&mut waiting, &mut given_up, Outcome::Cancelled, named);
+                    }
+                    // Guards the rule on waits: a connection may take its whole time to come up, and what was
+                    // decided before the wait would then be written in the midst of it.
+                    Order::Hold if !begun.load(Ordering::Relaxed) => {
+                        part(&mut waiting, &mut given_up, Outcome::NotSent, |_| true);
+                    }
+                    Order::Hold => {}
+                },
             }
             // The last of them is told of only when the connection is closed: it holds the slot till then.
             if !waiting.is_empty() {
@@ -200,6 +220,7 @@
     to: SocketAddr,
     connect_timeout: Duration,
     request: Request<Full<Bytes>>,
+    begun: &AtomicBool,
 ) -> Result<Answer, Silence> {
     let several = request.uri().path() == "/hook/batch";
     let mut request = Box::new(request);
@@ -210,10 +231,14 @@
             *connection = Some(opened.map_err(|_| Silence::NeverRan)?);
         }
         let Some(open) = connection else { return Err(Silence::NeverRan) };
+        begun.store(true, Ordering::Relaxed);
         match open.send(*request).await {
             Ok(response) => return read(response, several).await,
             // The idle connection had been closed before a byte was written: the call opens another one.
-            Err(Broken::Unsent(unsent)) if reused => (request, *connection) = (unsent, None),
+            Err(Broken::Unsent(unsent)) if reused => {
+                begun.store(false, Ordering::Relaxed);
+                (request, *connection) = (unsent, None);
+            }
             Err(Broken::Unsent(_)) => return Err(Silence::NeverRan),
             Err(Broken::InDoubt) => return Err(Silence::MayHaveRun),
         }
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -2,10 +2,11 @@
 //! and reports what came of it; it decides nothing itself.
 
 use crate::api::{
-    Action, Ended, Entry, Event, Listing, MessageId, Micros, Outcome, Past, Settings, Submit, TargetId,
+    Action, DestId, Ended, Entry, Event, Listing, MessageId, Micros, Outcome, Past, Settings, Submit,
+    TargetId,
 };
 use crate::logic::Balancer;
-use crate::net::calls::{self, Call, CallNews, Item};
+use crate::net::calls::{self, Call, CallNews, Item, Order};
 use crate::net::config::Config;
 use crate::net::discovery::{List, State};
 use crate::net::http::Connection;
@@ -88,6 +89,7 @@
 }
 
 struct Target {
+    dest: DestId,
     to: SocketAddr,
     zone: String,
     batch: usize,
@@ -100,6 +102,14 @@
     call: u64,
 }
 
+/// A call that is out.
+struct CallOut {
+    target: TargetId,
+    /// Attempts of it that have not ended.
+    left: usize,
+    orders: Sender<Order>,
+}
+
 struct Send {
     id: MessageId,
     attempt: usize,
@@ -120,8 +130,7 @@
     targets: BTreeMap<TargetId, Target>,
     uids: HashMap<String, TargetId>,
     out: HashMap<(MessageId, usize), Out>,
-    /// Attempts still out of each call, and where to call them off.
-    calls: HashMap<u64, (usize, Sender<(MessageId, usize)>)>,
+    calls: HashMap<u64, CallOut>,
     next_call: u64,
     idle_most: usize,
     owed: Vec<Notice>,
@@ -509,8 +518,9 @@
             });
         }
         let Some(t) = self.targets.get_mut(&target).filter(|_| !items.is_empty()) else { return };
-        let (call_off, called_off) = channel(items.len());
-        self.calls.insert(self.next_call, (items.len(), call_off));
+        // Each attempt is called off once at most; one more place is for a wait.
+        let (sender, orders) = channel(items.len() + 1);
+        self.calls.insert(self.next_call, CallOut { target, left: items.len(), orders: sender });
         self.next_call += 1;
         let connect_timeout = Duration::from_micros(self.settings.connect_timeout.max(1000) as u64);
         let call = Call {
@@ -519,7 +529,7 @@
             items,
             idle: t.idle.pop().map(|(_, connection)| connection),
             connect_timeout,
-            called_off,
+            orders,
             node: self.inputs.clone(),
         };
         tokio::spawn(calls::make(call));
@@ -527,9 +537,20 @@
 
     fn cancel(&mut self, id: MessageId, attempt: usize) {
         let call = self.out.get(&(id, attempt)).and_then(|out| self.calls.get(&out.call));
-        if let Some((_, call_off)) = call {
-            // Full or closed: its outcome is on its way.
-            let _ = call_off.try_send((id, attempt));
+        if let Some(call) = call {
+            // Closed: its outcome is on its way.
+            let _ = call.orders.try_send(Order::CallOff(id, attempt));
+        }
+    }
+
+    /// A wait was told at this target: calls of its destination that are not written yet are not to be.
+    fn hold(&self, target: TargetId) {
+        let dest = self.targets.get(&target).map(|t| t.dest);
+        for call in self.calls.values() {
+            if self.targets.get(&call.target).map(|t| t.dest) == dest {
+                // Full: it has been told so before.
+                let _ = call.orders.try_send(Order::Hold);
+            }
         }
     }
 
@@ -541,6 +562,9 @@
         {
             target.idle.push((Instant::now(), connection));
         }
+        if news.ended.iter().any(|e| e.wait.is_some()) {
+            self.hold(news.target);
+        }
         for ended in news.ended {
             self.ended(now, ended);
         }
@@ -549,9 +573,9 @@
     fn ended(&mut self, now: Micros, ended: calls::Ended) {
         let calls::Ended { id, attempt, outcome, finished, report, wait } = ended;
         let Some(out) = self.out.remove(&(id, attempt)) else { return };
-        if let Some((left, _)) = self.calls.get_mut(&out.call) {
-            *left -= 1;
-            if *left == 0 {
+        if let Some(call) = self.calls.get_mut(&out.call) {
+            call.left -= 1;
+            if call.left == 0 {
                 self.calls.remove(&out.call);
             }
         }
@@ -599,7 +623,13 @@
             let target = *self.uids.entry(line.uid.clone()).or_insert(next);
             let kind = index(&self.names.kinds, &line.model).unwrap_or(usize::MAX);
             let batch = self.settings.kinds.get(kind).map_or(1, |k| k.batch.max(1));
-            let new = || Target { to: line.endpoint, zone: line.az.clone(), batch, idle: Vec::new() };
+            let new = || Target {
+                dest: line.pod_group,
+                to: line.endpoint,
+                zone: line.az.clone(),
+                batch,
+                idle: Vec::new(),
+            };
             let known = self.targets.entry(target).or_insert_with(new);
             if known.to != line.endpoint || line.state == State::Terminated {
                 known.idle.clear();
--- a/tests/forwarder.rs
+++ b/tests/forwarder.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 use support::{Discovery, Forwarder, Stub, request, target};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::timeout;
 
 const QUIET: Duration = Duration::from_millis(150);
@@ -181,6 +181,53 @@
     w.target.next().await.answer(200);
 }
 
+/// An address whose connections do not come up until somebody accepts: its queue is full.
+async fn jammed() -> (TcpListener, Vec<TcpStream>) {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a free port");
+    let listener = socket.listen(1).expect("it listens");
+    let addr = listener.local_addr().expect("it is bound");
+    let mut queued = Vec::new();
+    while let Ok(Ok(stream)) = timeout(QUIET, TcpStream::connect(addr)).await {
+        queued.push(stream);
+    }
+    (listener, queued)
+}
+
+#[tokio::test]
+async fn a_call_whose_connection_comes_up_in_a_wait_is_not_written() {
+    let (discovery, mut stub, (listener, queued)) =
+        (Discovery::start().await, Stub::start().await, jammed().await);
+    let jammed = listener.local_addr().expect("it is bound");
+    let known =
+        [target("t", stub.addr, 7, "plain", "in_service"), target("u", jammed, 7, "plain", "in_service")];
+    let f = Forwarder::start(&discovery, &known, |c| c["settings"]["limits"]["connectTimeout"] = json!(9000))
+        .await;
+    f.hand_in("keyed", "a", 20_000).await;
+    f.hand_in("keyed", "b", 20_000).await;
+    // One went to each: idle endpoints come first.
+    let call = stub.next().await;
+    let told = Instant::now();
+    call.answer_with(429, &[("Wait-Ms", "5000")], "");
+    for _ in 0..queued.len() {
+        listener.accept().await.expect("one was queued");
+    }
+    // It comes up when the system tries again; what it brings shows whether it was written in the wait.
+    let written = async {
+        loop {
+            let (mut stream, _) = listener.accept().await.expect("it listens");
+            if stream.read(&mut [0; 64]).await.is_ok_and(|n| n > 0) {
+                return;
+            }
+        }
+    };
+    tokio::select! {
+        () = written => {}
+        call = stub.next() => call.answer(200),
+    }
+    assert!(told.elapsed() >= Duration::from_secs(5), "{:?}", told.elapsed());
+}
+
 #[tokio::test]
 async fn a_wait_beside_accepted_messages_binds_too() {
     let mut w = world("several", |c| c["settings"]["round"] = json!(400.0)).await;
