Read the configuration again at SIGHUP and move to the discovery it names

Lines at fault: src/net/mod.rs installed a handler for SIGTERM alone, so SIGHUP's default action ended the process. Ruled out: a crash of our own (the log is empty). Besides, discovery hung up to 22 s on a silent agent.

SIGHUP reads the file again; discovery's address goes over a watch channel to the watch (which breaks off, and asks for the whole list) and to the notices (the unacknowledged batch goes again). An unreadable file is reported and changes nothing. Watches are 2 s long and errors wait 0.4 s at most.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -9,15 +9,17 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::mpsc::Sender;
-use tokio::time::{sleep, timeout};
+use tokio::sync::watch;
+use tokio::time::timeout;
 
-/// How long a watch waits for news.
-const WATCH: Duration = Duration::from_secs(20);
+/// How long a watch waits for news. Short: an agent that has fallen silent shows only when this has passed,
+/// and what it had to tell counts as told a few seconds later all the same.
+const WATCH: Duration = Duration::from_secs(2);
 /// An answer later than this is taken for lost.
-const GRACE: Duration = Duration::from_secs(2);
+const GRACE: Duration = Duration::from_millis(500);
 const CONNECT: Duration = Duration::from_secs(1);
 /// A failed call is followed by the next after the first of these, doubled up to the second.
-const BACK_OFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
+const BACK_OFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(400));
 /// Longest list that is read.
 const MOST: usize = 8 << 20;
 
@@ -69,13 +71,23 @@
     Form(#[from] serde_json::Error),
 }
 
-/// Watches from `rev` on, for ever; whatever is told goes to the node in its order.
-pub(crate) async fn watch(at: SocketAddr, rev: u64, node: Sender<Input>) {
+/// Watches from `rev` on, for ever; whatever is told goes to the node in its order. A new address breaks off
+/// the watch at the old one, and the whole list is asked for there: the old one may have fallen behind.
+pub(crate) async fn watch(mut at: watch::Receiver<SocketAddr>, rev: u64, node: Sender<Input>) {
     let mut known = Some(rev);
     let mut connection = None;
     let mut pause = BACK_OFF.0;
     loop {
-        match call(at, known, &mut connection).await {
+        let to = *at.borrow_and_update();
+        let told = tokio::select! {
+            biased;
+            told = call(to, known, &mut connection) => told,
+            Ok(()) = at.changed() => {
+                (known, connection, pause) = (None, None, BACK_OFF.0);
+                continue;
+            }
+        };
+        match told {
             Ok(list) => {
                 pause = BACK_OFF.0;
                 known = Some(list.rev);
@@ -86,7 +98,8 @@
             Err(e) => {
                 eprintln!("discovery: {e}");
                 (known, connection) = (None, None);
-                sleep(pause).await;
+                // A new address is tried at once.
+                let _ = timeout(pause, at.changed()).await;
                 pause = (pause * 2).min(BACK_OFF.1);
             }
         }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -14,9 +14,10 @@
 use intake::{Intake, Phase};
 use node::{Input, Node};
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 
 /// What may wait for the node at a time.
@@ -50,15 +51,35 @@
     Io(#[from] io::Error),
 }
 
+/// Reads the file again at each SIGHUP and passes on discovery's address; all else that the file tells holds
+/// for the whole life of the process. A file that can't be read changes nothing.
+async fn reload(mut hangup: Signal, discovery: watch::Sender<SocketAddr>) {
+    while hangup.recv().await.is_some() {
+        match Config::from_env() {
+            Ok(config) => {
+                discovery.send_if_modified(|at| {
+                    let old = std::mem::replace(at, config.discovery);
+                    old != config.discovery
+                });
+            }
+            Err(e) => eprintln!("configuration: not read again: {e}"),
+        }
+    }
+}
+
 /// Runs until SIGTERM.
 pub async fn run(config: Config) -> Result<(), RunError> {
+    // Before anybody can see that it is ready: SIGHUP without a handler would end the process.
+    let hangup = signal(SignalKind::hangup())?;
     let Sockets { clients, idle } = Sockets::share(&config);
     let (inputs, received) = mpsc::channel(INPUTS);
     let (notices, batches) = mpsc::channel(1);
     let node =
         Node::start(&config, idle, notices, inputs.clone()).map_err(|e| RunError::Journal(e.to_string()))?;
-    tokio::spawn(discovery::watch(config.discovery, config.known.rev, inputs.clone()));
-    tokio::spawn(notices::send_all(config.discovery, batches, inputs.clone()));
+    let (told, at) = watch::channel(config.discovery);
+    tokio::spawn(discovery::watch(at.clone(), config.known.rev, inputs.clone()));
+    tokio::spawn(notices::send_all(at, batches, inputs.clone()));
+    tokio::spawn(reload(hangup, told));
     let mut terminate = signal(SignalKind::terminate())?;
     let told = inputs.clone();
     tokio::spawn(async move {
--- a/src/net/notices.rs
+++ b/src/net/notices.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::mpsc::{Receiver, Sender};
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
 const CONNECT: Duration = Duration::from_secs(1);
@@ -38,13 +39,29 @@
     },
 }
 
-/// Sends each batch that the node hands over until it is acknowledged, then says so.
-pub(crate) async fn send_all(at: SocketAddr, mut batches: Receiver<Vec<Notice>>, node: Sender<Input>) {
+/// Sends each batch that the node hands over until it is acknowledged, then says so. A new address breaks off
+/// a try at the old one, and gets the whole batch: a notice that comes twice does no harm.
+pub(crate) async fn send_all(
+    mut at: watch::Receiver<SocketAddr>,
+    mut batches: Receiver<Vec<Notice>>,
+    node: Sender<Input>,
+) {
     let mut connection = None;
     while let Some(batch) = batches.recv().await {
-        while !acknowledged(at, &batch, &mut connection).await {
+        loop {
+            if at.has_changed().unwrap_or(false) {
+                connection = None;
+            }
+            let to = *at.borrow_and_update();
+            tokio::select! {
+                biased;
+                acknowledged = acknowledged(to, &batch, &mut connection) => match acknowledged {
+                    true => break,
+                    false => sleep(AGAIN).await,
+                },
+                Ok(()) = at.changed() => {}
+            }
             connection = None;
-            sleep(AGAIN).await;
         }
         if node.send(Input::Noticed(batch)).await.is_err() {
             return;
--- a/tests/forwarder.rs
+++ b/tests/forwarder.rs
@@ -510,3 +510,47 @@
         let _ = timeout(support::SOON, client.read_to_end(&mut text)).await.expect("it is not kept for ever");
     }
 }
+
+#[tokio::test]
+async fn sighup_moves_to_another_discovery_and_an_unreadable_file_changes_nothing() {
+    let mut w = plain().await;
+    w.forwarder.hand_in("keyed", "before", 9000).await;
+    let out = w.target.next().await;
+    // A file that is no configuration: the old one holds, and the process lives.
+    w.forwarder.reload(|c| *c = json!({"name": c["name"], "kept": *c}));
+    let mut second = Stub::start().await;
+    w.discovery.push(2, vec![target("u", second.addr, 8, "plain", "in_service")]);
+    // A notice that the old address leaves unanswered goes to the new one, as does the watch.
+    w.forwarder.hand_in("unsafe", "owed", 9000).await;
+    w.target.next().await.answer(500);
+    let unanswered = w.discovery.next_notice().await;
+    let mut new = Stub::start().await;
+    w.forwarder.reload(|c| {
+        *c = c["kept"].take();
+        c["discovery"] = json!(new.addr.to_string());
+    });
+    let (mut watched, mut noticed) = (false, false);
+    while !watched || !noticed {
+        let call = new.next().await;
+        if call.path == "/v1/notices" {
+            assert_eq!(call.body_then(|c| c.answer(204)), unanswered.body);
+            noticed = true;
+        } else if call.path == "/api/targets" {
+            let list = json!({"rev": 9, "all": true, "targets": [
+                target("t", w.target.addr, 7, "plain", "terminating"),
+                target("v", second.addr, 7, "plain", "in_service"),
+            ]});
+            call.answer_with(200, &[], &list.to_string());
+            watched = true;
+        }
+    }
+    // The next watch shows that the list was heard: what is new goes where it says.
+    assert_eq!(new.next().await.path, "/api/targets?index=9&wait=2000");
+    w.forwarder.hand_in("keyed", "after", 9000).await;
+    let call = second.next().await;
+    assert_eq!(call.header("req-id"), "after");
+    call.answer(200);
+    // What was out before ends as ever.
+    out.answer(200);
+    w.forwarder.until_delivered("keyed", "before").await;
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -272,8 +272,22 @@
     }
 
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Changes the configuration file and sends SIGHUP.
+    pub fn reload(&self, change: impl FnOnce(&mut Value)) {
+        let path = self.folder.join("config.json");
+        let text = fs::read(&path).expect("it was written");
+        let mut config = serde_json::from_slice(&text).expect("it is JSON");
+        change(&mut config);
+        fs::write(&path, config.to_string()).expect("the folder is writable");
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, name: &str) {
         let pid = self.process.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &pid]).status().expect("kill runs").success());
+        assert!(Command::new("kill").args([name, &pid]).status().expect("kill runs").success());
     }
 
     pub async fn exited(&mut self) -> ExitStatus {
