--- a/src/logic.rs
+++ b/src/logic.rs
@@ -49,6 +49,8 @@
 const KEEP_SENDERS: f64 = 16.0;
 /// Senders are uneven: one may count on this multiple of its even part of what all share.
 const UNEVEN: f64 = 2.0;
+/// A told limit within this multiple of the listed one, up or down, is believed.
+const REPORT_TIMES: f64 = 10.0;
 const SECOND: f64 = 1e6;
 
 /// The settings and what follows from them alone (spans in microseconds).
@@ -86,6 +88,8 @@
     pace: f64,
     good: Fading,
     bad: Fading,
+    /// Of the bad ones, those that may have run.
+    spent: Fading,
     last_good: Micros,
     /// When each call still out was sent.
     out: BTreeMap<u64, Micros>,
@@ -97,6 +101,8 @@
     /// Calls a second: allowed to this sender now, told for all senders.
     limit: Option<f64>,
     ceiling: Option<f64>,
+    /// What the list told of it; 0 where it told nothing.
+    listed: f64,
     adjusted_at: Micros,
     /// The last call took all that it may.
     full: bool,
@@ -130,6 +136,14 @@
         self.ceiling.unwrap_or(0.0) * e.part
     }
 
+    /// A told limit far from the listed one was spoilt on its way: a tiny one would starve the destination, and
+    /// from a huge one no refusal would bring the pace back.
+    fn believes(&self, limit: f64) -> bool {
+        let listed = if self.listed > 0.0 { self.listed } else { 10.0 };
+        let times = if self.listed > 0.0 { REPORT_TIMES } else { REPORT_TIMES * REPORT_TIMES };
+        (listed / times..=listed * times).contains(&limit)
+    }
+
     /// Age from which a call is overdue.
     fn patience(&self, e: &Env) -> Micros {
         (OVERDUE_TIMES * self.usual).max(e.aim / 2.0) as Micros
@@ -216,7 +230,7 @@
         match self.state {
             State::Outage(_) => {
                 self.state = State::Warming(now);
-                self.bad = Fading::default();
+                (self.bad, self.spent) = (Fading::default(), Fading::default());
                 self.due = now;
             }
             State::Warming(since) if (now - since) as f64 > e.warm => self.state = State::Open,
@@ -224,8 +238,17 @@
         }
     }
 
-    fn failed(&mut self, now: Micros, e: &Env) {
+    /// Share of what is sent there that may run without being delivered: what must not run twice is lost by that.
+    fn risk(&self, now: Micros, e: &Env) -> f64 {
+        let spent = self.spent.get(now, e.health);
+        spent / (spent + self.good.get(now, e.health) + PRIOR_GOOD)
+    }
+
+    fn failed(&mut self, now: Micros, outcome: Outcome, e: &Env) {
         self.bad.add(now, e.health);
+        if !outcome.never_ran() {
+            self.spent.add(now, e.health);
+        }
         let bad = self.bad.get(now, e.health);
         let few = (self.own_rate(now, e) * e.health / SECOND / 2.0).max(OUTAGE_FAILS * e.part);
         if bad >= OUTAGE_FAILS.min(few) && bad > self.good.get(now, e.health) {
@@ -314,6 +337,12 @@
     key: Option<String>,
 }
 
+/// What a destination could be sent in this turn: value, endpoint and message, or when to look again.
+struct Offer {
+    falters: bool,
+    found: Result<(f64, TargetId, MessageId), Micros>,
+}
+
 /// Messages of one ordered key.
 #[derive(Default)]
 struct Turns {
@@ -428,9 +457,12 @@
                 self.gone.remove(&entry.target);
             }
             let scope = if dest.kind.routes_apart { &mut target.scope } else { &mut dest.scope };
-            if self.e.s.weights != Weights::Off && entry.weight > 0.0 && scope.limit.is_none() {
+            if self.e.s.weights != Weights::Off && entry.weight > 0.0 {
+                scope.listed = entry.weight;
+            }
+            if scope.listed > 0.0 && scope.limit.is_none() {
                 let part = if dest.kind.batch > 1 { self.e.s.senders.max(1) as f64 } else { 1.0 };
-                scope.limit = Some(entry.weight / part);
+                scope.limit = Some(scope.listed / part);
             }
         }
     }
@@ -635,18 +667,21 @@
         let sick = self.counters.iter().filter(|(dest, _)| self.dest_falters(**dest, now));
         let mut sick_calls: usize = sick.map(|(_, calls)| calls).sum();
         let mut wake = Micros::MAX;
+        let mut offers: BTreeMap<DestId, Offer> =
+            self.waiting.iter().map(|dest| (*dest, self.offer(*dest, now))).collect();
         while self.calls.len() < self.e.s.slots {
             let mut best: Option<(f64, DestId, TargetId, MessageId, bool)> = None;
             wake = Micros::MAX;
-            for dest in self.waiting.iter().copied().collect::<Vec<_>>() {
-                let falters = self.dest_falters(dest, now);
-                let cap = self.cap(if falters { FALTER_QUARTERS } else { STEADY_QUARTERS });
+            for (&dest, offer) in &offers {
+                let cap = self.cap(if offer.falters { FALTER_QUARTERS } else { STEADY_QUARTERS });
                 let calls = self.counters.get(&dest).copied().unwrap_or(0);
-                if calls >= cap || (falters && sick_calls >= self.cap(FALTER_QUARTERS)) {
+                if calls >= cap || (offer.falters && sick_calls >= self.cap(FALTER_QUARTERS)) {
                     continue;
                 }
-                match self.candidate(dest, now) {
-                    Ok((v, t, m)) if best.is_none_or(|b| v > b.0) => best = Some((v, dest, t, m, falters)),
+                match offer.found {
+                    Ok((v, t, m)) if best.is_none_or(|b| v > b.0) => {
+                        best = Some((v, dest, t, m, offer.falters))
+                    }
                     Ok(_) => {}
                     Err(at) => wake = wake.min(at),
                 }
@@ -654,6 +689,13 @@
             let Some((_, dest, target, id, falters)) = best else { break };
             sick_calls += usize::from(falters);
             self.send(now, dest, target, id, actions);
+            // A send changes nothing for the other destinations: to look at all again costs the most where
+            // many wait.
+            if self.waiting.contains(&dest) {
+                offers.insert(dest, self.offer(dest, now));
+            } else {
+                offers.remove(&dest);
+            }
         }
         self.reclaim(now, actions);
         self.close_idle(now, actions);
@@ -661,6 +703,10 @@
         self.set_wake(now, wake, actions);
     }
 
+    fn offer(&self, dest: DestId, now: Micros) -> Offer {
+        Offer { falters: self.dest_falters(dest, now), found: self.candidate(dest, now) }
+    }
+
     /// Tables of connections count idle ones, and many rare callers fill them: one that is not kept busy is
     /// closed. Guards all who share a receiver; could hurt where calls come in clumps, by a handshake each.
     fn close_idle(&mut self, now: Micros, actions: &mut Vec<Action>) {
@@ -719,13 +765,26 @@
     /// The best message for a scope: what earns most, on time before late, earliest aim first.
     fn pick(&self, d: &Dest, scope: &Scope, target: &Target, now: Micros) -> Option<(f64, MessageId)> {
         let at = now + scope.usual as Micros;
+        let risky = scope.risk(now, &self.e) > FALTER_SHARE;
+        let trial = matches!(scope.state, State::Outage(_));
+        let effect = |class: usize| self.e.s.classes[class].effect;
+        let repeatable = d.lanes.keys().any(|(class, _)| effect(*class) != Effect::Unsafe);
         let mut best: Option<(f64, Micros, MessageId)> = None;
         for ((class, _), lane) in &d.lanes {
-            let effect = self.e.s.classes[*class].effect;
+            let effect = effect(*class);
+            // Guards what an error loses for good: it is no trial while another message can be one,
+            if trial && repeatable && effect == Effect::Unsafe {
+                continue;
+            }
             let per_zone = matches!(effect, Effect::Keyed { per_zone: true, .. });
             for &(due, id) in lane.range((at, 0)..).next().into_iter().chain(lane.first()) {
                 let m = &self.messages[&id];
                 let elsewhere = per_zone && m.risk.is_some_and(|(_, zone)| zone != target.zone);
+                // and where calls fail it waits for better times, as long as its aim allows.
+                let early = risky && !trial && at + self.e.aim as Micros / 4 < m.due;
+                if early && effect == Effect::Unsafe {
+                    continue;
+                }
                 let v = self.value(m, at);
                 let better = best.is_none_or(|(b, b_due, _)| v > b || (v == b && due < b_due));
                 if better && !elsewhere && now < self.sendable_until(m) {
@@ -755,6 +814,10 @@
     fn candidate(&self, dest: DestId, now: Micros) -> Result<(f64, TargetId, MessageId), Micros> {
         let d = &self.dests[&dest];
         let mut again = Micros::MAX;
+        // A call takes one slot, however many messages it carries: what it earns is all of them. Guards those who
+        // gather messages against starving when slots are short.
+        let waiting: usize = d.lanes.values().map(BTreeSet::len).sum();
+        let travelling = waiting.min(d.kind.batch.max(1)) as f64;
         for (_, id) in self.endpoints(d, now) {
             let t = &self.targets[&id];
             let scope = if d.kind.routes_apart { &t.scope } else { &d.scope };
@@ -763,7 +826,10 @@
             if ready > now {
                 again = again.min(ready);
             } else if let Some((value, message)) = self.pick(d, scope, t, now) {
-                return Ok((value / scope.usual.max(self.e.aim / 32.0), id, message));
+                let slot_time = scope.usual.max(scope.pace).max(self.e.aim / 32.0);
+                return Ok((value * travelling / slot_time, id, message));
+            } else {
+                again = again.min(now + self.e.aim as Micros / 16);
             }
         }
         Err(again)
@@ -896,7 +962,7 @@
     fn judge(&mut self, now: Micros, dest: DestId, target: TargetId, end: &Ended) {
         let (e, batch) = (self.e.clone(), self.dests[&dest].kind.batch);
         let scope = self.scope(dest, target);
-        if let Some(limit) = end.report.and_then(|r| r.limit) {
+        if let Some(limit) = end.report.and_then(|r| r.limit).filter(|limit| scope.believes(*limit)) {
             if scope.ceiling.is_none() {
                 scope.limit = Some(if batch > 1 { limit / e.s.senders.max(1) as f64 } else { limit });
             }
@@ -907,7 +973,7 @@
             Outcome::Full { wait } => scope.refused(now, now - end.elapsed, wait, &e),
             // Nobody's health shows in an answer that was spoilt on its way.
             Outcome::NotSent | Outcome::Spoilt => {}
-            _ => scope.failed(now, &e),
+            outcome => scope.failed(now, outcome, &e),
         }
     }
 
--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -21,6 +21,9 @@
 
 /// Longest answer that is read.
 const ANSWER_MOST: usize = 64 << 10;
+/// Longest wait that is believed (ms): far longer than any that is meant, and one that was spoilt on its way does
+/// not shut a destination out for good.
+const WAIT_MOST: f64 = 60_000.0;
 
 /// One message in a call.
 pub(crate) struct Item {
@@ -287,8 +290,7 @@
 }
 
 fn wait(ms: &str) -> Option<Micros> {
-    // A day is longer than any wait that makes sense, and short enough to add up.
-    ms.parse::<f64>().ok().filter(|ms| *ms > 0.0).map(|ms| (ms.min(86_400_000.0) * 1000.0) as Micros)
+    ms.parse::<f64>().ok().filter(|ms| *ms > 0.0).map(|ms| (ms.min(WAIT_MOST) * 1000.0) as Micros)
 }
 
 /// What can be read of a load report: one value that can't does not hide the others.
--- a/src/net/intake.rs
+++ b/src/net/intake.rs
@@ -24,7 +24,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::Sender;
 use tokio::sync::{Semaphore, oneshot, watch};
-use tokio::task::{AbortHandle, JoinSet};
+use tokio::task::{AbortHandle, JoinSet, yield_now};
 use tokio::time::{sleep, timeout};
 
 /// Longest body.
@@ -152,7 +152,14 @@
     async fn accept(&mut self, listener: TcpListener, intake: Arc<Intake>) {
         loop {
             match listener.accept().await {
-                Ok((stream, _)) => self.take(stream, intake.clone()),
+                Ok((stream, _)) => {
+                    self.take(stream, intake.clone());
+                    // A connection that gives way is closed by its task: without a turn for that, a wave of new
+                    // ones would pass the bound.
+                    if self.open.len() >= self.most {
+                        yield_now().await;
+                    }
+                }
                 Err(e) => {
                     // Out of descriptors, say: others must close first.
                     eprintln!("intake: {e}");
--- a/src/net/journal.rs
+++ b/src/net/journal.rs
@@ -17,6 +17,8 @@
 const RESERVE: u64 = 1024;
 /// A file is not compacted while it is shorter than this.
 const COMPACT_FROM: u64 = 256 << 10;
+/// To make room, a file is compacted where that frees this part of the bound.
+const WORTH_COMPACTING: u64 = 16;
 /// Ends that are remembered at the most, so that a message handed in again finds its answer.
 const ENDS_MOST: usize = 4096;
 
@@ -183,16 +185,22 @@
     pub(crate) fn has_room(&mut self, messages: usize, bytes: usize, now: u64) -> bool {
         // Records are short but for the body; names and keys are bounded where messages come in.
         let more = bytes as u64 + messages as u64 * RESERVE;
-        if self.fits(more) {
+        if self.fits(self.len, more) {
             return true;
         }
-        self.compact(now).is_ok() && self.fits(more)
+        // Guards the processor: near the bound, where compacting frees next to nothing, doing it for each message
+        // would take more time than there is, just when the most is held.
+        let freed = self.len.saturating_sub(self.compacted_len());
+        freed >= self.limit / WORTH_COMPACTING
+            && self.fits(self.compacted_len(), more)
+            && self.compact(now).is_ok()
+            && self.fits(self.len, more)
     }
 
-    /// Room for what is there, its compacted copy, and `more` in both.
-    fn fits(&self, more: u64) -> bool {
+    /// Room for a file of this length, its compacted copy, and `more` in both.
+    fn fits(&self, len: u64, more: u64) -> bool {
         let reserve = self.live.len() as u64 * RESERVE;
-        self.len + self.compacted_len() + self.backlog.len() as u64 + 2 * (reserve + more) <= self.limit
+        len + self.compacted_len() + self.backlog.len() as u64 + 2 * (reserve + more) <= self.limit
     }
 
     fn compacted_len(&self) -> u64 {
@@ -532,6 +540,29 @@
         assert!(journal.has_room(1, 500, NOW));
     }
 
+    #[test]
+    fn near_the_bound_it_is_not_compacted_for_each_message() {
+        let folder = Folder::new();
+        let (mut journal, _) = Journal::open(&folder.0, 400_000, NOW).expect("it opens");
+        let (mut compacted, mut refused) = (0, 0);
+        for n in 0..2000 {
+            let (id, len) = (format!("m{n}"), journal.len);
+            if journal.has_room(1, 500, NOW) {
+                journal.commit(&[taken(&id, vec![0; 500])], NOW).expect("it said that there is room");
+            } else {
+                refused += 1;
+                // One ends for each that is refused: there is always a little to free.
+                journal.note(&Record::Over(format!("m{refused}"), End::Failed, 0), NOW);
+                journal.commit(&[], NOW).expect("kept room");
+            }
+            compacted += usize::from(journal.len < len);
+        }
+        assert!(
+            refused > 100 && compacted > 0 && compacted < 100,
+            "{refused} refused, {compacted} compacted"
+        );
+    }
+
     #[test]
     fn a_failed_write_leaves_nothing_behind_but_the_backlog() {
         let folder = Folder::new();
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -295,24 +295,39 @@
 }
 
 #[test]
-fn an_absurd_limit_in_a_report_does_not_stop_or_break_the_sender() {
-    let mut rig = Rig::new(settings(), vec![entry(10, 1, 0)]);
-    rig.submit(1, 0, 1);
-    let report = Some(Report { limit: Some(1e-300) });
-    let (outcome, elapsed) = (Outcome::Delivered, 10 * MS);
-    rig.turn(vec![Event::Ended(Ended {
-        id: 1,
-        attempt: 0,
-        outcome,
-        elapsed,
-        finished: true,
-        report,
-        wait: None,
-    })]);
-    for id in 2..5 {
-        rig.submit(id, 0, 1);
+fn an_absurd_limit_in_a_report_is_not_believed() {
+    for limit in [1e-300, 1e300] {
+        let mut rig = Rig::new(settings(), vec![entry(10, 1, 0)]);
+        rig.submit(1, 0, 1);
+        let report = Some(Report { limit: Some(limit) });
+        let (outcome, elapsed) = (Outcome::Delivered, 10 * MS);
+        rig.turn(vec![Event::Ended(Ended {
+            id: 1,
+            attempt: 0,
+            outcome,
+            elapsed,
+            finished: true,
+            report,
+            wait: None,
+        })]);
+        let sent: usize = (2..5).map(|id| sends(&rig.submit(id, 0, 1)).len()).sum();
+        assert_eq!(sent, 3, "a tiny limit holds nothing back");
+        // After a huge one a refusal still cuts the pace to what was sent.
+        rig.ended(2, 0, Outcome::Full { wait: None }, 10 * MS);
+        rig.now += 4 * SEC;
+        let sent: usize = (5..15).map(|id| sends(&rig.submit(id, 0, 1)).len()).sum();
+        assert!(sent < 5, "{limit}: {sent}");
     }
-    assert_eq!(timed_sends(&rig.pass(15 * SEC)).len() + 1, 2, "one at once, one more at the slowest pace");
+}
+
+#[test]
+fn where_slots_are_short_a_call_that_carries_many_goes_before_one_that_carries_one() {
+    let mut rig = Rig::new(Settings { slots: 1, ..settings() }, vec![entry(10, 1, 0), entry(20, 2, 2)]);
+    rig.submit(1, 0, 1);
+    (2..5).for_each(|id| assert_eq!(sends(&rig.submit(id, 0, 1)), []));
+    (5..15).for_each(|id| assert_eq!(sends(&rig.submit(id, 0, 2)), []));
+    let next = sends(&rig.ended(1, 0, Outcome::Delivered, 10 * MS));
+    assert_eq!(next, (5..15).map(|id| (id, 20)).collect::<Vec<_>>());
 }
 
 fn many() -> Settings {
@@ -517,3 +532,33 @@
     assert!(fails(&resumed(1, past(1, Some(6 * SEC)))));
     assert!(goes(&resumed(0, past(1, Some(6 * SEC)))));
 }
+
+#[test]
+fn where_calls_fail_a_message_that_must_not_run_twice_waits_as_long_as_its_aim_allows() {
+    let mut rig = Rig::new(settings(), vec![entry(10, 1, 0)]);
+    for id in 0..4 {
+        rig.submit(id, 0, 1);
+        rig.ended(id, 0, Outcome::Delivered, 100 * MS);
+    }
+    for id in 10..12 {
+        assert_eq!(sends(&rig.submit(id, 2, 1)).len(), 1);
+        rig.ended(id, 0, Outcome::Error, 100 * MS);
+    }
+    let start = rig.now;
+    assert_eq!(sends(&rig.submit(20, 2, 1)), [], "an error would lose it");
+    assert_eq!(sends(&rig.submit(21, 0, 1)).len(), 1, "an error would not");
+    let all = timed_sends(&rig.pass(3 * SEC));
+    let (at, ..) = all.iter().find(|(_, id, _)| *id == 20).expect("it goes before its aim has passed");
+    assert!(*at - start >= SEC, "{}", at - start);
+}
+
+#[test]
+fn a_trial_is_a_message_that_may_be_repeated() {
+    let mut rig = Rig::new(settings(), vec![entry(10, 1, 0)]);
+    (0..4).for_each(|id| drop(rig.submit(id, 2, 1)));
+    (0..4).for_each(|id| drop(rig.ended(id, 0, Outcome::Error, 100 * MS)));
+    rig.submit(30, 2, 1);
+    rig.submit(31, 1, 1);
+    let all = timed_sends(&rig.pass(4 * SEC));
+    assert_eq!(all.first().map(|(_, id, _)| *id), Some(31), "{all:?}");
+}
