Call off stuck calls down to a quarter of the slots

Lines at fault: reclaim() in logic.rs let overdue calls keep half of the slots, gave those that must not run twice a whole aim more, and called off single messages of a batch, which frees no slot. Ruled out: refusals by limits (15 a second) and the processor.

Change: overdue calls keep a quarter, whole calls are called off, half an aim more for what must not run twice.

Conclusion: a quarter.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -26,6 +26,8 @@
 const OVERDUE_TIMES: f64 = 4.0;
 /// with so many calls overdue it is held to hang.
 const HUNG_CALLS: usize = 2;
+/// Where slots are short, overdue calls may keep the Nth part of them.
+const STUCK_PART: usize = 4;
 /// So many refusals in a row without a told wait are a shut door, not a limit.
 const SHUT_REFUSALS: u32 = 4;
 /// Gain of one delivery in the usual pace (tens of calls) and in the present one (a few).
@@ -735,28 +737,31 @@
         }
     }
 
-    /// Slots for all: with every slot taken, calls long overdue give back what they hold over half of them,
-    /// repeatable ones first. One that must not run twice is lost by that, so it is given an aim more.
+    /// Slots for all: with every slot taken, calls long overdue give back all but a few, those that may be
+    /// repeated first. One that must not run twice is lost by that, so its call is given half an aim more.
     fn reclaim(&mut self, now: Micros, actions: &mut Vec<Action>) {
         if self.calls.len() < self.e.s.slots || self.waiting.is_empty() || !self.e.s.cancel {
             return;
         }
-        let mut stuck = Vec::new();
-        for (&(id, attempt), a) in &self.attempts {
+        // By call: whether something in it must not run twice, when it was sent, how late it may be.
+        let mut out: BTreeMap<u64, (bool, Micros, Micros)> = BTreeMap::new();
+        for a in self.attempts.values().filter(|a| !a.called_off) {
             let (d, t) = (&self.dests[&a.dest], &self.targets[&a.target]);
             let scope = if d.kind.routes_apart { &t.scope } else { &d.scope };
-            let unsafe_ = self.e.s.classes[a.class].effect == Effect::Unsafe;
-            let late = scope.patience(&self.e) + if unsafe_ { self.e.aim as Micros } else { 0 };
-            if now - a.sent > late && !a.called_off {
-                stuck.push((unsafe_, a.sent, a.call, id, attempt));
-            }
+            let call = out.entry(a.call).or_insert((false, a.sent, scope.patience(&self.e)));
+            call.0 |= self.e.s.classes[a.class].effect == Effect::Unsafe;
         }
+        let extra = |once: bool| if once { self.e.aim as Micros / 2 } else { 0 };
+        let late = out.into_iter().filter(|(_, (once, sent, late))| now - sent > late + extra(*once));
+        let mut stuck: Vec<(bool, Micros, u64)> =
+            late.map(|(call, (once, sent, _))| (once, sent, call)).collect();
         stuck.sort_unstable();
-        let held: BTreeSet<u64> = stuck.iter().map(|(_, _, call, ..)| *call).collect();
-        let excess = held.len().saturating_sub(self.cap(FALTER_QUARTERS));
-        for (.., id, attempt) in stuck.into_iter().take(excess) {
-            self.attempts.get_mut(&(id, attempt)).expect("it is out").called_off = true;
-            actions.push(Action::Cancel { id, attempt });
+        stuck.truncate(stuck.len().saturating_sub((self.e.s.slots / STUCK_PART).max(1)));
+        for (&(id, attempt), a) in &mut self.attempts {
+            if !a.called_off && stuck.iter().any(|(.., call)| *call == a.call) {
+                a.called_off = true;
+                actions.push(Action::Cancel { id, attempt });
+            }
         }
     }
 
