--- a/src/logic.rs
+++ b/src/logic.rs
@@ -138,8 +138,8 @@
         self.ceiling.unwrap_or(0.0) * e.part
     }
 
-    /// A told limit far from the listed one was spoilt on its way: a tiny one would starve the destination, and
-    /// from a huge one no refusal would bring the pace back.
+    /// A told limit far from the listed one was spoilt on its way: a tiny one would starve the destination,
+    /// and from a huge one no refusal would bring the pace back.
     fn believes(&self, limit: f64) -> bool {
         let listed = if self.listed > 0.0 { self.listed } else { 10.0 };
         let times = if self.listed > 0.0 { REPORT_TIMES } else { REPORT_TIMES * REPORT_TIMES };
@@ -240,7 +240,7 @@
         }
     }
 
-    /// Share of what is sent there that may run without being delivered: what must not run twice is lost by that.
+    /// Share of what is sent there that may run and is not delivered: what must not run twice is lost then.
     fn risk(&self, now: Micros, e: &Env) -> f64 {
         let spent = self.spent.get(now, e.health);
         spent / (spent + self.good.get(now, e.health) + PRIOR_GOOD)
@@ -469,8 +469,8 @@
         }
     }
 
-    /// Forgets endpoints that are gone, once no call is out there. What holds for one (a wait, an outage) holds
-    /// on if it is listed again soon; what its destination has taught stays.
+    /// Forgets endpoints that are gone, once no call is out there. What holds for one (a wait, an outage)
+    /// holds on if it is listed again soon; what its destination has taught stays.
     fn forget_targets(&mut self, now: Micros) {
         let (targets, warm) = (&mut self.targets, self.e.warm as Micros);
         self.gone.retain(|id, since| {
@@ -819,8 +819,8 @@
     fn candidate(&self, dest: DestId, now: Micros) -> Result<(f64, TargetId, MessageId), Micros> {
         let d = &self.dests[&dest];
         let mut again = Micros::MAX;
-        // A call takes one slot, however many messages it carries: what it earns is all of them. Guards those who
-        // gather messages against starving when slots are short.
+        // A call takes one slot, however many messages it carries: what it earns is all of them. Guards those
+        // who gather messages against starving when slots are short.
         let waiting: usize = d.lanes.values().map(BTreeSet::len).sum();
         let travelling = waiting.min(d.kind.batch.max(1)) as f64;
         for (_, id) in self.endpoints(d, now) {
