Never forget an end that binds; hold messages in memory of their own size

Defect: at 9,000 messages a second 957 of 1,060 delivered unsafe messages that came again took effect twice. store.rs kept 4,096 ends at the most (ENDS_MOST) and dropped further ones; each end near the bound scanned all others.

Change: a table of 24 bytes an end (keyed 128-bit hash, swept by a hand, no scan), on disk in the same form at the front of a compacted file; with no room for a further end new messages are refused with a wait. Compaction copies live records by their places through 16 KiB; it read and parsed the whole file before. Bodies are copied out. Where limits.mayDuplicate is false no attempt ends before its call is closed.

--- a/crates/engine/src/call.rs
+++ b/crates/engine/src/call.rs
@@ -33,6 +33,9 @@
     pub to: SocketAddr,
     /// The messages in it, at least one.
     pub items: Vec<Item>,
+    /// Attempts of it may end while the call goes on. Else all end with the first that must: until its connection is
+    /// closed, the call counts as out for each message in it.
+    pub second_copies: bool,
     /// A connection that is not up by then never comes up.
     pub connect_timeout: Duration,
     /// What the engine says to the call while it is out.
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -34,6 +34,8 @@
 const CLIENT_WAITS: Micros = 400_000;
 /// A failure that goes on is told again after this time.
 const TELL_EVERY: Duration = Duration::from_secs(1);
+/// When a client is to come again whose message the journal has no room for now.
+const AGAIN: Duration = Duration::from_secs(1);
 /// What may have run at no known time ran long ago (microseconds): no destination remembers its key.
 const LONG_AGO: Micros = 365 * 24 * 3600 * 1_000_000;
 
@@ -454,7 +456,7 @@
     fn turn_away(&mut self, id: MessageId) {
         if let Some(mut message) = self.messages.remove(&id) {
             self.ids.remove(&message.accepted.id);
-            message.answer(Answer::Refused(None));
+            message.answer(Answer::Refused(Some(AGAIN)));
             self.events.push(Event::ClientLeft { id });
         }
     }
@@ -533,7 +535,8 @@
         self.next_call += 1;
         t.in_flight += 1;
         let connect_timeout = Duration::from_micros(self.settings.connect_timeout.max(1000) as u64);
-        let call = Call { endpoint, to: t.to, items, connect_timeout, orders };
+        let second_copies = self.settings.second_copies;
+        let call = Call { endpoint, to: t.to, items, second_copies, connect_timeout, orders };
         self.transport.start(call, self.inputs.clone());
     }
 
--- a/crates/http/src/calls.rs
+++ b/crates/http/src/calls.rs
@@ -67,6 +67,13 @@
                     Order::Hold => {}
                 },
             }
+            // Guards the rule on second copies where none is allowed: the module may send an attempt that ended at
+            // once again, while this call still counts as out for its message.
+            if !call.second_copies
+                && let Some(outcome) = given_up.first().map(|end| end.outcome)
+            {
+                part(&mut waiting, &mut given_up, outcome, |_| true);
+            }
             // The last of them is told of only when the connection is closed: it holds the slot till then.
             if !waiting.is_empty() {
                 tell(&call, &results, std::mem::take(&mut given_up)).await;
--- a/crates/http/src/intake.rs
+++ b/crates/http/src/intake.rs
@@ -324,7 +324,8 @@
 
 async fn read_body(body: Incoming) -> Result<Bytes, StatusCode> {
     match timeout(BODY, Limited::new(body, BODY_MOST).collect()).await {
-        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        // Copied: what the reader gives is a slice of its buffer, and a held message would keep all of that.
+        Ok(Ok(whole)) => Ok(Bytes::copy_from_slice(&whole.to_bytes())),
         Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
         Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
     }
--- a/crates/journal/src/frame.rs
+++ b/crates/journal/src/frame.rs
@@ -12,7 +12,7 @@
 //! that a frame cut off by the end of the file (torn: nothing of its turn was acted upon) is told from one whose
 //! length is damaged.
 
-use crate::record::Record;
+use crate::record::{Accepted, Ends, Record};
 use bytes::Bytes;
 use std::collections::HashMap;
 
@@ -64,8 +64,11 @@
     // A record has no map, and writing to memory does not fail; if it did, the frame would be skipped at replay.
     let _ = serde_json::to_writer(&mut *out, record);
     let head = (out.len() - start - FRAME_HEAD - 4) as u32;
-    if let Record::Accepted(accepted) = record {
-        out.extend_from_slice(&accepted.body);
+    match record {
+        Record::Accepted(Accepted { body, .. }) | Record::Ends(Ends { body, .. }) => {
+            out.extend_from_slice(body)
+        }
+        _ => {}
     }
     let payload = start + FRAME_HEAD;
     out[payload..payload + 4].copy_from_slice(&head.to_le_bytes());
@@ -84,11 +87,11 @@
 fn payload(payload: &[u8]) -> Option<Record> {
     let head = number(payload, 0)? as usize;
     let (head, body) = payload.get(4..)?.split_at_checked(head)?;
-    let mut record = serde_json::from_slice(head).ok()?;
-    match &mut record {
-        Record::Accepted(accepted) => accepted.body = Bytes::copy_from_slice(body),
-        _ if !body.is_empty() => return None,
-        _ => {}
+    let mut record: Record = serde_json::from_slice(head).ok()?;
+    match record.body() {
+        Some(own) => *own = Bytes::copy_from_slice(body),
+        None if !body.is_empty() => return None,
+        None => {}
     }
     Some(record)
 }
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! - `record`: what stands in it
 //! - `frame`: how a record stands in the file, and how a damaged file is read past its damage
+//! - `ends`: the ends of messages that are over, as long as they bind
 //! - `replay`: the messages put together again from their records
 //! - `store`: the file itself: appending, compacting, room
 //!
@@ -34,12 +35,13 @@
 //! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
 
+mod ends;
 mod frame;
 mod record;
 mod replay;
 mod store;
 
-pub use record::{Accepted, End, NoticeEnd, Record};
+pub use record::{Accepted, End, Ends, NoticeEnd, Record};
 pub use replay::{Attempt, OpenMessage};
 pub use store::{Damage, Durability, Journal, JournalError, Options, Recovered};
 
--- a/crates/journal/src/record.rs
+++ b/crates/journal/src/record.rs
@@ -40,10 +40,30 @@
     Closed(String, End, u64),
     /// Records stood here that can't be read: any message that was open may have been sent.
     Gap,
+    /// Ends that still bound when the file was written anew. They stand before all other records.
+    Ends(Ends),
+}
+
+/// Ends of many messages, by the hash of their ids.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Ends {
+    /// The key of the hashes.
+    pub key: [u64; 2],
+    /// 24 bytes each: the hash (16, little-endian halves), then until when (Unix ms) and in the two lowest bits how.
+    #[serde(skip)]
+    pub body: Bytes,
 }
 
 impl Record {
-    /// The message that it is about; none for a gap.
+    /// The bytes that stand behind its head, as they are.
+    pub(crate) fn body(&mut self) -> Option<&mut Bytes> {
+        match self {
+            Record::Accepted(Accepted { body, .. }) | Record::Ends(Ends { body, .. }) => Some(body),
+            _ => None,
+        }
+    }
+
+    /// The message that it is about, if it is about one.
     pub(crate) fn id(&self) -> Option<&str> {
         match self {
             Record::Accepted(Accepted { id, .. })
@@ -51,7 +71,7 @@
             | Record::Ended(id, ..)
             | Record::Owed(id, ..)
             | Record::Closed(id, ..) => Some(id),
-            Record::Gap => None,
+            Record::Gap | Record::Ends(_) => None,
         }
     }
 }
--- a/crates/journal/src/replay.rs
+++ b/crates/journal/src/replay.rs
@@ -118,6 +118,7 @@
                 self.open.remove(&id);
                 self.orphans.remove(&id);
             }
+            Record::Ends(_) => {}
             Record::Gap => {
                 self.gap = true;
                 self.open.values_mut().for_each(|open| open.in_doubt = true);
@@ -127,7 +128,10 @@
 
     /// The open messages in the order taken, and the ends owed for those whose content is lost.
     pub(crate) fn finish(mut self) -> (Vec<OpenMessage>, Vec<(String, NoticeEnd)>) {
-        let open = self.order.iter().filter_map(|id| self.open.remove(id)).collect();
+        // An id that came again after its end stands where it was taken on last.
+        let mut open: Vec<OpenMessage> =
+            self.order.iter().rev().filter_map(|id| self.open.remove(id)).collect();
+        open.reverse();
         let mut orphans: Vec<(String, NoticeEnd)> = self.orphans.into_iter().collect();
         orphans.sort_by(|a, b| a.0.cmp(&b.0));
         (open, orphans)
--- a/crates/journal/src/store.rs
+++ b/crates/journal/src/store.rs
@@ -1,12 +1,15 @@
 //! The file: appending, compacting, room, and what is done about damage.
 
+use crate::ends::{self, Ends, Name};
 use crate::frame::{self, FILE_HEAD, Mark, Piece};
-use crate::record::{End, NoticeEnd, Record};
+use crate::record::{self, End, NoticeEnd, Record};
 use crate::replay::{OpenMessage, Replay};
+use bytes::Bytes;
 use std::collections::HashMap;
 use std::fs::{self, File, OpenOptions, TryLockError};
 use std::hash::{BuildHasher, RandomState};
 use std::io::{self, BufWriter, Read, Write};
+use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
 use yarrowhill_faults::{Bug, Point, pass, planted};
 
@@ -16,10 +19,11 @@
 const COMPACT_FROM: u64 = 256 << 10;
 /// To make room, a file is compacted where that frees this part of the bound.
 const WORTH_COMPACTING: u64 = 16;
-/// Ends that are remembered at the most, so that a message handed in again finds its answer.
-const ENDS_MOST: usize = 4096;
-/// Ends that are past are dropped this often (ms).
-const SWEEP: u64 = 1000;
+/// Ends in one record of a compacted file, and what such a record takes beside them.
+const ENDS_A_RECORD: usize = 1024;
+const ENDS_HEAD: u64 = 96;
+/// Slots that are looked at for ends that are past, each time that room is short.
+const SWEEP: usize = 256;
 /// After a write that failed, nothing new is taken on for so long (ms): what is left of the disk is for ends.
 const SCARCE: u64 = 1000;
 /// After a write that failed, the file is written anew so often (ms) even where that frees little.
@@ -83,6 +87,26 @@
     pub torn: u64,
 }
 
+/// A record's place in the file.
+#[derive(Clone, Copy, Debug)]
+struct Span {
+    at: u64,
+    len: u32,
+}
+
+/// An open message: the name and the turn of its being open, since an id may come again when its end binds no longer.
+type Open = (Name, u64);
+
+/// What the file holds of a message that is open.
+#[derive(Debug, Default)]
+struct Live {
+    turn: u64,
+    /// Bytes of its records, those that are still to be written with them.
+    bytes: u64,
+    /// Where they stand.
+    spans: Vec<Span>,
+}
+
 /// The open journal.
 #[derive(Debug)]
 pub struct Journal {
@@ -94,15 +118,19 @@
     len: u64,
     limit: u64,
     durability: Durability,
-    /// Bytes of the records of each open message, and of all of them.
-    live: HashMap<String, u64>,
+    /// The open messages, and the bytes of the records of all of them.
+    live: HashMap<Name, Live>,
     live_bytes: u64,
-    /// Ends still remembered, and until when (Unix ms).
-    ends: HashMap<String, (End, u64)>,
-    /// When ends that are past were last dropped (Unix ms).
-    swept: u64,
+    /// Where gaps are noted.
+    gaps: Vec<Span>,
+    /// Ends that still bind.
+    ends: Ends,
     /// Frames that have no choice but to be written: ends of attempts and messages.
     backlog: Vec<u8>,
+    /// Where in the backlog the records of open messages stand.
+    placed: Vec<(Open, Span)>,
+    /// Messages that were open so far.
+    turns: u64,
     /// A write failed; until then (Unix ms) room is kept for what must be written.
     scarce_until: u64,
     /// Where little is freed, the file is not written anew before this (Unix ms).
@@ -146,9 +174,11 @@
             durability: options.durability,
             live: HashMap::new(),
             live_bytes: 0,
-            ends: HashMap::new(),
-            swept: now,
+            gaps: Vec::new(),
+            ends: Ends::new(new_key()),
             backlog: Vec::new(),
+            placed: Vec::new(),
+            turns: 0,
             scarce_until: 0,
             compact_after: 0,
             unclean: false,
@@ -158,7 +188,14 @@
         let aside = journal.path.with_extension("damaged");
         for piece in pieces {
             match &piece {
-                Piece::Record { record, size, .. } => journal.book(record, *size as u64, now),
+                Piece::Record { record, at, size } => {
+                    let span = Span { at: *at as u64, len: *size as u32 };
+                    if let Some(open) = journal.book(record, span.len, now) {
+                        journal.place(open, span);
+                    } else if *record == Record::Gap {
+                        journal.gaps.push(span);
+                    }
+                }
                 Piece::Damaged { at, size } => {
                     recovered.damage.push(Damage { offset: *at as u64, len: *size as u64 });
                     tracing::error!(
@@ -188,7 +225,7 @@
             journal.len = FILE_HEAD as u64;
         } else if mark.is_none() || !recovered.damage.is_empty() {
             // Written anew: in the present form, and with the damage noted in its place.
-            match journal.compact(now) {
+            match journal.write_anew(now, |journal, out| journal.copy_pieces(&text, out)) {
                 Err(JournalError::Full) if mark.is_some() => {
                     tracing::error!("journal: no room to write it anew without its damage");
                 }
@@ -204,15 +241,27 @@
 
     /// Notes what must be written with the next turn, or whenever writing succeeds again.
     pub fn note(&mut self, record: &Record, now: u64) {
+        let span = self.put(record);
+        if let Some(open) = self.book(record, span.len, now) {
+            self.placed.push((open, span));
+        }
+    }
+
+    /// Adds a record to the backlog; its place there.
+    fn put(&mut self, record: &Record) -> Span {
         let start = self.backlog.len();
         frame::put(self.mark, record, &mut self.backlog);
-        let size = (self.backlog.len() - start) as u64;
-        self.book(record, size, now);
+        Span { at: start as u64, len: (self.backlog.len() - start) as u32 }
     }
 
     /// How a message ended, if it did not long ago, and until when (Unix ms) that is worth remembering.
     pub fn end_of(&self, id: &str) -> Option<(End, u64)> {
-        self.ends.get(id).copied()
+        self.ends.get(self.ends.name(id))
+    }
+
+    /// Ends that are held, some of which may be past.
+    pub fn ends(&self) -> usize {
+        self.ends.len()
     }
 
     /// Whether all that was noted stands in the file.
@@ -235,6 +284,7 @@
         if self.fits(self.len, more) {
             return true;
         }
+        self.ends.sweep(SWEEP, now);
         // Guards the processor: near the bound, where compacting frees next to nothing, doing it for each message
         // would take more time than there is, just when the most is held.
         let freed = self.len.saturating_sub(self.compacted_len());
@@ -251,7 +301,9 @@
     }
 
     fn compacted_len(&self) -> u64 {
-        FILE_HEAD as u64 + self.live_bytes + self.ends.len() as u64 * 128
+        let ends = self.ends.len();
+        let records = ends.div_ceil(ENDS_A_RECORD) as u64 * ENDS_HEAD;
+        FILE_HEAD as u64 + self.live_bytes + records + (ends * ends::SLOT) as u64
     }
 
     /// Writes what was noted and these records, all or nothing.
@@ -261,21 +313,25 @@
     /// None of these records stands in the file then; what was noted stays noted.
     pub fn commit(&mut self, records: &[Record], now: u64) -> Result<(), JournalError> {
         let noted = self.backlog.len();
-        let mut sizes = Vec::with_capacity(records.len());
+        let mut spans = Vec::with_capacity(records.len());
         let lost = usize::from(planted(Bug::LoseRecord));
         for record in &records[..records.len().saturating_sub(lost)] {
-            let start = self.backlog.len();
-            frame::put(self.mark, record, &mut self.backlog);
-            sizes.push((self.backlog.len() - start) as u64);
+            spans.push(self.put(record));
         }
         if self.backlog.is_empty() {
             return Ok(());
         }
         match self.append(now).or_else(|e| self.append_compacted(now, e)) {
             Ok(()) => {
+                let start = self.len - self.backlog.len() as u64;
                 self.backlog.clear();
-                for (record, size) in records.iter().zip(sizes) {
-                    self.book(record, size, now);
+                for (record, span) in records.iter().zip(spans) {
+                    if let Some(open) = self.book(record, span.len, now) {
+                        self.placed.push((open, span));
+                    }
+                }
+                for (open, span) in std::mem::take(&mut self.placed) {
+                    self.place(open, Span { at: start + span.at, ..span });
                 }
                 if self.len > COMPACT_FROM.max(3 * self.compacted_len()) {
                     // The long file still holds all: it is tried again after the next turn.
@@ -348,62 +404,87 @@
         Ok(())
     }
 
-    /// Keeps count of what a compacted file would hold.
-    fn book(&mut self, record: &Record, size: u64, now: u64) {
+    /// Keeps count of what a compacted file would hold. Gives the message whose record is to be kept in it.
+    fn book(&mut self, record: &Record, size: u32, now: u64) -> Option<Open> {
+        if let Record::Ends(ends) = record {
+            self.take_up(ends, now);
+        }
+        let name = self.ends.name(record.id()?);
         match record {
-            Record::Closed(id, end, until) => {
-                self.live_bytes -= self.live.remove(id).unwrap_or(0);
-                self.remember(id, *end, *until, now);
-                return;
+            Record::Closed(_, end, until) => {
+                self.live_bytes -= self.live.remove(&name).map_or(0, |live| live.bytes);
+                self.ends.insert(name, *end, *until, now);
+                return None;
             }
-            Record::Owed(id, end, until) => self.remember(id, (*end).into(), *until, now),
+            Record::Owed(_, end, until) => self.ends.insert(name, (*end).into(), *until, now),
             _ => {}
         }
-        if let Some(id) = record.id() {
-            // Most records are of a message that is known: no name is copied for them.
-            match self.live.get_mut(id) {
-                Some(bytes) => *bytes += size,
-                None => drop(self.live.insert(id.to_owned(), size)),
-            }
-            self.live_bytes += size;
-        }
+        let turns = &mut self.turns;
+        let live = self.live.entry(name).or_insert_with(|| {
+            *turns += 1;
+            Live { turn: *turns, ..Live::default() }
+        });
+        live.bytes += u64::from(size);
+        self.live_bytes += u64::from(size);
+        Some((name, live.turn))
     }
 
-    fn remember(&mut self, id: &str, end: End, until: u64, now: u64) {
-        // What is past would make the memory, and the file with it, grow up to the bound.
-        if now >= self.swept + SWEEP || self.ends.len() >= ENDS_MOST {
-            self.ends.retain(|_, (_, until)| *until > now);
-            self.swept = now;
+    /// A record of a message stands there in the file.
+    fn place(&mut self, (name, turn): Open, span: Span) {
+        if let Some(live) = self.live.get_mut(&name).filter(|live| live.turn == turn) {
+            live.spans.push(span);
         }
-        if self.ends.len() < ENDS_MOST && until > now {
-            self.ends.insert(id.to_owned(), (end, until));
+    }
+
+    /// The ends of the file: all of them are hashed with one key, and stand before whatever is hashed here.
+    fn take_up(&mut self, ends: &record::Ends, now: u64) {
+        if ends.key != self.ends.key() {
+            if self.ends.len() > 0 || !self.live.is_empty() {
+                return tracing::error!("journal: {} bytes of ends under a foreign key", ends.body.len());
+            }
+            self.ends = Ends::new(ends.key);
         }
+        self.ends.take_up(&ends.body, now);
     }
 
     /// Copies what is still of use into a new file and puts that in the old one's place.
     fn compact(&mut self, now: u64) -> Result<(), JournalError> {
-        self.ends.retain(|_, (_, until)| *until > now);
-        let text = fs::read(&self.path)?;
-        let text = &text[..text.len().min(self.len as usize)];
+        self.write_anew(now, |journal, out| journal.copy_spans(out))
+    }
+
+    /// Writes a new file, its ends first, then what `copy` writes, and puts it in the old one's place.
+    fn write_anew(
+        &mut self,
+        now: u64,
+        copy: impl FnOnce(&Self, &mut Copy) -> Result<(), JournalError>,
+    ) -> Result<(), JournalError> {
         let new = self.path.with_extension("new");
-        let file = OpenOptions::new().append(true).create(true).truncate(false).open(&new)?;
+        let file = OpenOptions::new().read(true).append(true).create(true).truncate(false).open(&new)?;
         file.set_len(0)?;
-        let copied = self.copy_kept(text, &file).and_then(|len| {
+        let out = BufWriter::with_capacity(COPY_BUFFER, &file);
+        let mut out = Copy {
+            out,
+            len: 0,
+            most: self.limit.saturating_sub(self.len),
+            placed: Vec::new(),
+            gaps: Vec::new(),
+        };
+        let copied = self.copy_ends(&mut out, now).and_then(|()| copy(self, &mut out)).and_then(|()| {
+            out.out.flush()?;
             if self.durability == Durability::Disk {
                 file.sync_all()?;
             }
             pass(Point::BeforeRename);
-            fs::rename(&new, &self.path)?;
-            Ok(len)
+            Ok(fs::rename(&new, &self.path)?)
         });
-        let len = match copied {
-            Ok(len) => len,
-            Err(e) => {
-                fs::remove_file(&new)?;
-                return Err(e);
-            }
-        };
-        (self.file, self.len) = (file, len);
+        let (len, placed, gaps) = out.end();
+        if let Err(e) = copied {
+            fs::remove_file(&new)?;
+            return Err(e);
+        }
+        (self.file, self.len, self.gaps) = (file, len, gaps);
+        self.live.values_mut().for_each(|live| live.spans.clear());
+        placed.into_iter().for_each(|(open, span)| self.place(open, span));
         if self.durability == Durability::Disk
             && let Some(folder) = self.path.parent()
         {
@@ -412,49 +493,115 @@
         Ok(())
     }
 
-    /// Writes what is still of use of a file's text, record by record: a copy of it in memory would be as long as
-    /// all that is held. Gives its length.
-    fn copy_kept(&self, text: &[u8], file: &File) -> Result<u64, JournalError> {
-        let mut out = BufWriter::with_capacity(COPY_BUFFER, file);
-        let mut len = 0;
-        let mut write = |bytes: &[u8]| {
-            len += bytes.len() as u64;
-            if self.len + len > self.limit {
-                return Err(JournalError::Full);
-            }
-            Ok(out.write_all(bytes)?)
+    /// The file's head and the ends that still bind.
+    fn copy_ends(&self, out: &mut Copy, now: u64) -> Result<(), JournalError> {
+        out.write(&frame::file_head(self.mark))?;
+        let mut body = Vec::with_capacity(ENDS_A_RECORD * ends::SLOT);
+        let mut binding = self.ends.binding(now).peekable();
+        let mut made = Vec::new();
+        while binding.peek().is_some() {
+            body.clear();
+            binding.by_ref().take(ENDS_A_RECORD).for_each(|end| body.extend_from_slice(&end));
+            let record =
+                Record::Ends(record::Ends { key: self.ends.key(), body: Bytes::copy_from_slice(&body) });
+            made.clear();
+            frame::put(self.mark, &record, &mut made);
+            out.write(&made)?;
+        }
+        Ok(())
+    }
+
+    /// What is still of use of the file, by the places of it: nothing else of it is read, and of that a few
+    /// kilobytes at a time.
+    fn copy_spans(&self, out: &mut Copy) -> Result<(), JournalError> {
+        let of = |(name, live): (&Name, &Live)| {
+            live.spans.iter().map(|span| (Some((*name, live.turn)), *span)).collect::<Vec<_>>()
         };
-        write(&frame::file_head(self.mark))?;
-        let (mark, pieces) = frame::read(text);
+        let mut kept: Vec<(Option<Open>, Span)> = self.live.iter().flat_map(of).collect();
+        let first = kept.iter().map(|(_, span)| span.at).min();
+        // What a gap means for messages that are over is past.
+        let gaps = self.gaps.iter().filter(|gap| first.is_some_and(|first| first < gap.at));
+        kept.extend(gaps.map(|gap| (None, *gap)));
+        kept.sort_unstable_by_key(|(_, span)| span.at);
+        let mut buffer = vec![0; COPY_BUFFER];
+        for (open, span) in kept {
+            out.begin(open, span.len);
+            let (mut at, mut left) = (span.at, span.len as usize);
+            while left > 0 {
+                let part = left.min(COPY_BUFFER);
+                self.file.read_exact_at(&mut buffer[..part], at)?;
+                out.write(&buffer[..part])?;
+                (at, left) = (at + part as u64, left - part);
+            }
+        }
+        Ok(())
+    }
+
+    /// What is still of use of a text that is damaged, or of the first version.
+    fn copy_pieces(&self, text: &[u8], out: &mut Copy) -> Result<(), JournalError> {
+        let (_, pieces) = frame::read(text);
         // Whether a message that is still open has been kept so far: what a gap means for others is past.
         let mut open = false;
         let mut made = Vec::new();
         for piece in pieces {
-            made.clear();
-            match piece {
-                Piece::Record { record, at, size } => {
-                    let keep = match &record {
-                        Record::Closed(id, ..) => self.ends.contains_key(id),
-                        Record::Gap => open,
-                        other => other.id().is_some_and(|id| self.live.contains_key(id)),
-                    };
-                    open |= keep && matches!(record, Record::Accepted(_));
-                    if keep && mark == Some(self.mark) {
-                        write(&text[at..at + size])?;
-                    } else if keep {
-                        frame::put(self.mark, &record, &mut made);
-                    }
-                }
-                Piece::Damaged { at, size } => {
-                    tracing::error!("journal: {size} bytes at {at} can't be read");
-                    frame::put(self.mark, &Record::Gap, &mut made);
-                }
-                Piece::Torn { .. } => {}
+            let (record, fresh) = match piece {
+                Piece::Record { record, .. } => (record, false),
+                Piece::Damaged { .. } => (Record::Gap, true),
+                Piece::Torn { .. } => continue,
+            };
+            let of = record.id().and_then(|id| {
+                let name = self.ends.name(id);
+                self.live.get(&name).map(|live| (name, live.turn))
+            });
+            let keep = match &record {
+                Record::Closed(..) | Record::Ends(_) => false,
+                Record::Gap => open || fresh,
+                _ => of.is_some(),
+            };
+            if !keep {
+                continue;
             }
-            write(&made)?;
+            open |= matches!(record, Record::Accepted(_));
+            made.clear();
+            frame::put(self.mark, &record, &mut made);
+            out.begin(of, made.len() as u32);
+            out.write(&made)?;
         }
-        out.flush()?;
-        Ok(len)
+        Ok(())
+    }
+}
+
+/// A new file that is being written.
+struct Copy<'a> {
+    out: BufWriter<&'a File>,
+    len: u64,
+    /// Bytes that it may take beside the old one.
+    most: u64,
+    placed: Vec<(Open, Span)>,
+    gaps: Vec<Span>,
+}
+
+impl Copy<'_> {
+    /// Its length, and where its records stand. What is not written through after a failure goes with the file.
+    fn end(self) -> (u64, Vec<(Open, Span)>, Vec<Span>) {
+        (self.len, self.placed, self.gaps)
+    }
+
+    /// What is written next is a record of this message, or a gap.
+    fn begin(&mut self, open: Option<Open>, len: u32) {
+        let span = Span { at: self.len, len };
+        match open {
+            Some(open) => self.placed.push((open, span)),
+            None => self.gaps.push(span),
+        }
+    }
+
+    fn write(&mut self, bytes: &[u8]) -> Result<(), JournalError> {
+        self.len += bytes.len() as u64;
+        if self.len > self.most {
+            return Err(JournalError::Full);
+        }
+        Ok(self.out.write_all(bytes)?)
     }
 }
 
@@ -466,6 +613,11 @@
     Mark([a | 0x80, b, c, d])
 }
 
+/// Drawn in the same way.
+fn new_key() -> ends::Key {
+    [1u8, 2].map(|half| RandomState::new().hash_one(half))
+}
+
 /// Adds bytes that can't be read to a file beside the journal. They are worth no failure.
 fn keep_aside(path: &Path, bytes: &[u8], most: u64) {
     let kept = OpenOptions::new().append(true).create(true).open(path).and_then(|mut file| {
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -105,6 +105,9 @@
     pub max_attempts: usize,
     /// Attempts may be called off.
     pub cancel: bool,
+    /// A message may have a second attempt out beside the first. Decisions never ask for that; hosts whose calls carry
+    /// several messages must not bring it about.
+    pub second_copies: bool,
     /// Clients are told how long to wait after a refusal.
     pub retry_after: bool,
     /// The longest wait a client heeds.
@@ -337,6 +340,7 @@
             open_cap: usize::MAX,
             max_attempts: usize::MAX,
             cancel: false,
+            second_copies: false,
             retry_after: false,
             max_retry_after: 0,
             ask: false,
--- a/crates/rig/src/script.rs
+++ b/crates/rig/src/script.rs
@@ -4,7 +4,7 @@
 use serde_json::Value;
 use std::net::SocketAddr;
 use yarrowhill_checker::{Effect, Terms};
-use yarrowhill_faults::Point;
+use yarrowhill_faults::{Bug, Point};
 use yarrowhill_standins::{Class, Faults, Figures, Line, Rng, configuration};
 
 const CLASSES: [Class; 2] = [
@@ -171,6 +171,58 @@
         }
     }
 
+    /// The script made for a bug: a calm world in which that alone goes wrong which the bug gets wrong, placed where
+    /// it must show. The seed varies traffic and timing.
+    pub fn directed(bug: Bug, seed: u64) -> Self {
+        let dest = |number, batches, limit, faults| Dest {
+            number,
+            batches,
+            endpoints: 2,
+            pace: 30.0,
+            limit,
+            faults,
+        };
+        let calm = |faults: Faults| vec![dest(10, true, 60.0, faults.clone()), dest(11, false, 60.0, faults)];
+        let none = Faults::default();
+        let down = |at, shut, span| (at, Act::Down { dest: 0, shut, span });
+        let (dests, acts) = match bug {
+            Bug::BelieveLate => (calm(Faults { last_moment: 0.2, late: 0.1, ..none }), vec![]),
+            Bug::BelieveCopy => (calm(Faults { copy: 0.2, spoilt: 0.2, reset: 0.1, ..none }), vec![]),
+            Bug::SendBeforeJournal => {
+                (calm(none), vec![(900.0, Act::Kill(100.0)), (1900.0, Act::Kill(100.0))])
+            }
+            // Calls that never answer are out when the process ends.
+            Bug::ForgetAttempt => (calm(Faults { silent: 0.3, ..none }), vec![(1500.0, Act::Kill(100.0))]),
+            // A shut door tells how long it stays shut.
+            Bug::IgnoreWait => {
+                let other = (1700.0, Act::Down { dest: 1, shut: true, span: 1200.0 });
+                (calm(none), vec![down(400.0, true, 1200.0), other])
+            }
+            Bug::ResetNeverRan => (calm(Faults { reset: 0.3, ..none }), vec![]),
+            Bug::SpoiltNeverRan => (calm(Faults { spoilt: 0.3, ..none }), vec![]),
+            Bug::NoticeOnce => (calm(Faults { error: 0.3, ..none }), vec![(0.0, Act::DropNotices(2))]),
+            Bug::CallDraining => {
+                let replace = |at, dest| (at, Act::Replace { dest, endpoint: 0, drains: 2500.0 });
+                (calm(none), vec![replace(300.0, 0), replace(300.0, 1)])
+            }
+            Bug::TakeTwice | Bug::LoseRecord => (calm(none), vec![(1500.0, Act::Kill(100.0))]),
+            // No notice is acknowledged before the process ends.
+            Bug::ForgetOwed => {
+                let acts = vec![(0.0, Act::DropNotices(1)), (2500.0, Act::Kill(400.0))];
+                (calm(Faults { error: 0.3, ..none }), acts)
+            }
+            Bug::DeferredDelivered => (calm(Faults { mixed: 0.5, ..none }), vec![]),
+            Bug::HandBack => (calm(Faults { error: 0.3, reset: 0.1, ..none }), vec![]),
+            Bug::HideFailures => {
+                let faults = none;
+                let dests = vec![dest(10, false, 40.0, faults.clone()), dest(11, false, 40.0, faults)];
+                (dests, vec![down(600.0, true, 1000.0)])
+            }
+        };
+        let clients = if bug == Bug::TakeTwice { [0.0, 0.0, 0.5] } else { [0.0; 3] };
+        Script { seed, rate: 80.0, dests, acts, clients, die: None, file_most: None, damage: None }
+    }
+
     /// When clients stop (ms).
     pub fn traffic(&self) -> f64 {
         TRAFFIC
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -154,6 +154,8 @@
         open_cap: c.count("limits.openCap", usize::MAX)?,
         max_attempts: c.count("limits.maxAttempts", usize::MAX)?,
         cancel: c.fields.flag("limits.cancel")?,
+        second_copies: c.fields.get("limits.mayDuplicate").is_none()
+            || c.fields.flag("limits.mayDuplicate")?,
         retry_after: c.fields.flag("limits.retryAfter")?,
         max_retry_after: c.time("limits.maxRetryAfter")?,
         ask: match c.fields.get("discovery") {
