--- a/crates/policy/src/balancer/scope.rs
+++ b/crates/policy/src/balancer/scope.rs
@@ -26,8 +26,8 @@
 const RECOVER: f64 = 0.08;
 /// and where no limit is told by this part with each delivery at least.
 const RECOVER_CALL: f64 = 0.02;
-/// While it warms up, each delivery at its usual pace lets the rate grow by this factor, and a refusal cuts it to
-/// this part; by the settings' own figures the rate starts where nobody can be pushed over.
+/// While it warms up, each delivery at its usual pace lets the rate grow by this factor, and a refusal cuts
+/// it to this part; by the settings' own figures the rate starts where nobody can be pushed over.
 const GROW: f64 = 1.4;
 const SHRINK: f64 = 0.5;
 /// A delivery within this multiple of the usual time shows that there is room for more.
@@ -199,8 +199,8 @@
         // Where calls gather messages, pace is of no use until they go full or rarely.
         if let Some(l) = self.limit.filter(|l| self.full || SECOND / l > e.aim / 4.0) {
             let dt = ((now - self.adjusted_at) as f64 / SECOND).clamp(0.0, e.warm / SECOND);
-            // Where nothing bounds it from above, each delivery shows room: at many calls a second by time alone a few
-            // refusals would hold for a long while.
+            // Where nothing bounds it from above, each delivery shows room: at many calls a second by time
+            // alone a few refusals would hold for a long while.
             let told = self.ceiling.is_some() || self.listed > 0.0;
             let part = if told || self.state != State::Open {
                 dt * RECOVER
@@ -244,7 +244,8 @@
 
     /// A limit is told for all senders: what counts is what this one sends, or its even part.
     fn back_off(&mut self, now: Micros, e: &Env) {
-        // Where none is told, or the mean is low for its coming back, what was sent just before is the best guess.
+        // Where none is told, or the mean is low for its coming back, what was sent just before is the best
+        // guess.
         let told = self.state == State::Open && (self.ceiling.is_some() || self.listed > 0.0);
         let guess = if told { 0.0 } else { self.short.get(now, RECENT) * SECOND / RECENT };
         let sent = self.own_rate(now, e).max(self.own_part(e)).max(guess);
@@ -269,8 +270,8 @@
         }
         self.wait_until = self.wait_until.max(now + wait.unwrap_or(0));
         if !matches!(self.state, State::Outage(_)) {
-            // Refused calls may use up the limit: each wave doubles the wait, and none come back together. Trials
-            // of an outage are spaced as it is.
+            // Refused calls may use up the limit: each wave doubles the wait, and none come back together.
+            // Trials of an outage are spaced as it is.
             let spaced = SECOND / self.limit.unwrap_or(e.least).max(e.least / 4.0);
             let most = e.aim * (1.0 / e.part).min(4.0);
             let own = (spaced * f64::from(1u32 << self.refusals.min(4)) / 2.0).min(most);
