--- a/crates/journal/src/store.rs
+++ b/crates/journal/src/store.rs
@@ -259,11 +259,6 @@
         self.ends.get(self.ends.name(id))
     }
 
-    /// Ends that are held, some of which may be past.
-    pub fn ends(&self) -> usize {
-        self.ends.len()
-    }
-
     /// Whether all that was noted stands in the file.
     pub fn is_settled(&self) -> bool {
         self.backlog.is_empty()
--- a/crates/policy/src/balancer/scope.rs
+++ b/crates/policy/src/balancer/scope.rs
@@ -119,6 +119,11 @@
         (listed / times..=listed * times).contains(&limit)
     }
 
+    /// Whether anybody has told what the destination takes.
+    fn is_told(&self) -> bool {
+        self.ceiling.is_some() || self.listed > 0.0
+    }
+
     /// Age from which a call is overdue.
     pub(super) fn patience(&self, e: &Env) -> Micros {
         (OVERDUE_TIMES * self.usual).max(e.aim / 2.0) as Micros
@@ -201,8 +206,7 @@
             let dt = ((now - self.adjusted_at) as f64 / SECOND).clamp(0.0, e.warm / SECOND);
             // Where nothing bounds it from above, each delivery shows room: at many calls a second by time
             // alone a few refusals would hold for a long while.
-            let told = self.ceiling.is_some() || self.listed > 0.0;
-            let part = if told || self.state != State::Open {
+            let part = if self.is_told() || self.state != State::Open {
                 dt * RECOVER
             } else {
                 (dt * RECOVER).max(RECOVER_CALL)
@@ -246,7 +250,7 @@
     fn back_off(&mut self, now: Micros, e: &Env) {
         // Where none is told, or the mean is low for its coming back, what was sent just before is the best
         // guess.
-        let told = self.state == State::Open && (self.ceiling.is_some() || self.listed > 0.0);
+        let told = self.state == State::Open && self.is_told();
         let guess = if told { 0.0 } else { self.short.get(now, RECENT) * SECOND / RECENT };
         let sent = self.own_rate(now, e).max(self.own_part(e)).max(guess);
         self.limit = Some((self.limit.map_or(sent, |l| l.min(sent)) * BACK_OFF).max(e.least / 4.0));
