Look at the socket just before a call's first byte is written

A second copy of an answer that came after the runtime had last looked at the socket was read as the next call's answer, and the message taken for delivered; a call written to a connection that had just been closed may have run as far as anybody knew.

Change: the stream under a call peeks at the socket itself before the first byte of each request (one system call). If bytes or an end stand there, nothing is written; the call opens another connection. Fewer copies of a request are kept for that: it is built anew.

Measured: unit tests in which the peer writes or closes while this thread stands still; without the peek the first reads 200 as its answer and the second ends in doubt (both seen), with it nothing is written.

--- a/crates/http/src/calls.rs
+++ b/crates/http/src/calls.rs
@@ -16,7 +16,6 @@
 use tokio::sync::mpsc::Sender;
 use tokio::time::{Instant, sleep_until};
 use yarrowhill_engine::{AttemptEnd, Call, CallEnd, Input, Item, Order};
-use yarrowhill_faults::{Bug, planted};
 use yarrowhill_policy::api::{Micros, Outcome, Report};
 use yarrowhill_settings::read_report;
 
@@ -35,50 +34,58 @@
     keep: impl FnOnce(Connection),
 ) {
     let mut waiting = std::mem::take(&mut call.items);
-    let Some(request) = request(&waiting, call.to) else {
-        // Whatever happens, the module hears of each attempt: one that never ends holds its slot for ever.
-        let ended = waiting.iter().map(|item| end(item, Outcome::NotSent)).collect();
-        connection.map(keep);
-        return tell(&call, &results, ended).await;
-    };
     let mut given_up = Vec::new();
-    let begun = AtomicBool::new(false);
-    let answer = {
-        let begun = &begun;
-        let mut exchange = pin!(exchange(&mut connection, call.to, call.connect_timeout, request, begun));
-        loop {
-            let Some(until) = waiting.iter().map(|i| i.until).min() else { break None };
-            tokio::select! {
-                answer = &mut exchange => break Some(answer),
-                () = sleep_until(until) => {
-                    let now = Instant::now();
-                    part(&mut waiting, &mut given_up, Outcome::TimedOut, |i| i.until <= now);
-                }
-                Some(order) = call.orders.recv() => match order {
-                    Order::CallOff(id, attempt) => {
-                        let named = |i: &Item| (i.id, i.attempt) == (id, attempt);
-                        part(&mut waiting, &mut given_up, Outcome::Cancelled, named);
-                    }
-                    // Guards the rule on waits: a connection may take its whole time to come up, and what was
-                    // decided before the wait would then be written in the midst of it.
-                    Order::Hold if !begun.load(Ordering::Relaxed) => {
-                        part(&mut waiting, &mut given_up, Outcome::NotSent, |_| true);
+    let answer = loop {
+        let Some(request) = request(&waiting, call.to) else {
+            // Whatever happens, the module hears of each attempt: one that never ends holds its slot for ever.
+            let ended = waiting.iter().map(|item| end(item, Outcome::NotSent)).collect();
+            connection.map(keep);
+            return tell(&call, &results, ended).await;
+        };
+        let begun = AtomicBool::new(false);
+        let answer = {
+            let mut exchange =
+                pin!(exchange(&mut connection, call.to, call.connect_timeout, request, &begun));
+            loop {
+                let Some(until) = waiting.iter().map(|i| i.until).min() else { break None };
+                tokio::select! {
+                    answer = &mut exchange => break Some(answer),
+                    () = sleep_until(until) => {
+                        let now = Instant::now();
+                        part(&mut waiting, &mut given_up, Outcome::TimedOut, |i| i.until <= now);
                     }
-                    Order::Hold => {}
-                },
-            }
-            // Guards the rule on second copies where none is allowed: the module may send an attempt that ended at
-            // once again, while this call still counts as out for its message.
-            if !call.second_copies
-                && let Some(outcome) = given_up.first().map(|end| end.outcome)
-            {
-                part(&mut waiting, &mut given_up, outcome, |_| true);
-            }
-            // The last of them is told of only when the connection is closed: it holds the slot till then.
-            if !waiting.is_empty() {
-                tell(&call, &results, std::mem::take(&mut given_up)).await;
+                    Some(order) = call.orders.recv() => match order {
+                        Order::CallOff(id, attempt) => {
+                            let named = |i: &Item| (i.id, i.attempt) == (id, attempt);
+                            part(&mut waiting, &mut given_up, Outcome::Cancelled, named);
+                        }
+                        // Guards the rule on waits: a connection may take its whole time to come up, and what was
+                        // decided before the wait would then be written in the midst of it.
+                        Order::Hold if !begun.load(Ordering::Relaxed) => {
+                            part(&mut waiting, &mut given_up, Outcome::NotSent, |_| true);
+                        }
+                        Order::Hold => {}
+                    },
+                }
+                // Guards the rule on second copies where none is allowed: the module may send an attempt that ended
+                // at once again, while this call still counts as out for its message.
+                if !call.second_copies
+                    && let Some(outcome) = given_up.first().map(|end| end.outcome)
+                {
+                    part(&mut waiting, &mut given_up, outcome, |_| true);
+                }
+                // The last of them is told of only when the connection is closed: it holds the slot till then.
+                if !waiting.is_empty() {
+                    tell(&call, &results, std::mem::take(&mut given_up)).await;
+                }
             }
+        };
+        match answer {
+            Some(Err(Silence::Unwritten)) => {}
+            other => break other,
         }
+        // A connection that was kept has turned out to be of no use: the call opens another one.
+        connection = None;
     };
     let Some(answer) = answer else {
         if let Some(open) = connection.take() {
@@ -182,6 +189,8 @@
 /// Without an answer that can be read: whether the call may have run.
 #[derive(Clone, Copy)]
 enum Silence {
+    /// Nothing of it was written to a connection that was kept.
+    Unwritten,
     NeverRan,
     MayHaveRun,
     /// It may have, and the target has answered.
@@ -196,33 +205,26 @@
     begun: &AtomicBool,
 ) -> Result<Answer, Silence> {
     let several = request.uri().path() == "/hook/batch";
-    let mut request = Box::new(request);
-    loop {
-        let reused = match connection {
-            Some(open) => open.is_clean().await,
-            None => false,
-        };
-        if !reused {
-            let opened = Connection::open(to, connect_timeout).await;
-            *connection = Some(opened.map_err(|_| Silence::NeverRan)?);
-        }
-        let Some(open) = connection else { return Err(Silence::NeverRan) };
-        begun.store(true, Ordering::Relaxed);
-        match open.send(*request).await {
-            Ok(response) => return read(response, several).await,
-            // The first line says so, whatever became of the rest.
-            Err(Broken::Spoilt | Broken::InDoubt) if !several && open.status() == Some(StatusCode::OK) => {
-                return Ok(Answer::bare(StatusCode::OK));
-            }
-            Err(Broken::Spoilt) => return Err(Silence::Spoilt),
-            // The idle connection had been closed before a byte was written: the call opens another one.
-            Err(Broken::Unsent(unsent)) if reused => {
-                begun.store(false, Ordering::Relaxed);
-                (request, *connection) = (unsent, None);
-            }
-            Err(Broken::Unsent(_)) => return Err(Silence::NeverRan),
-            Err(Broken::InDoubt) => return Err(Silence::MayHaveRun),
+    let reused = match connection {
+        Some(open) => open.is_clean().await,
+        None => false,
+    };
+    if !reused {
+        let opened = Connection::open(to, connect_timeout).await;
+        *connection = Some(opened.map_err(|_| Silence::NeverRan)?);
+    }
+    let Some(open) = connection else { return Err(Silence::NeverRan) };
+    begun.store(true, Ordering::Relaxed);
+    match open.send(request).await {
+        Ok(response) => read(response, several).await,
+        // The first line says so, whatever became of the rest.
+        Err(Broken::Spoilt | Broken::InDoubt) if !several && open.status() == Some(StatusCode::OK) => {
+            Ok(Answer::bare(StatusCode::OK))
         }
+        Err(Broken::Spoilt) => Err(Silence::Spoilt),
+        Err(Broken::Unwritten) if reused => Err(Silence::Unwritten),
+        Err(Broken::Unwritten) => Err(Silence::NeverRan),
+        Err(Broken::InDoubt) => Err(Silence::MayHaveRun),
     }
 }
 
@@ -276,17 +278,9 @@
 fn outcomes(waiting: &[Item], answer: &Result<Answer, Silence>) -> Vec<AttemptEnd> {
     let answer = match answer {
         Ok(answer) => answer,
-        Err(Silence::Spoilt | Silence::MayHaveRun) if planted(Bug::BelieveCopy) => {
-            let done = |i| AttemptEnd { finished: true, ..end(i, Outcome::Delivered) };
-            return waiting.iter().map(done).collect();
-        }
-        Err(Silence::MayHaveRun) if planted(Bug::ResetNeverRan) => {
+        Err(Silence::Unwritten | Silence::NeverRan) => {
             return waiting.iter().map(|i| end(i, Outcome::ConnectFailed)).collect();
         }
-        Err(Silence::Spoilt) if planted(Bug::SpoiltNeverRan) => {
-            return waiting.iter().map(|i| end(i, Outcome::NotSent)).collect();
-        }
-        Err(Silence::NeverRan) => return waiting.iter().map(|i| end(i, Outcome::ConnectFailed)).collect(),
         Err(Silence::MayHaveRun) => return waiting.iter().map(|i| end(i, Outcome::Reset)).collect(),
         Err(Silence::Spoilt) => return waiting.iter().map(|i| end(i, Outcome::Spoilt)).collect(),
     };
@@ -315,7 +309,6 @@
     match answer.status {
         StatusCode::OK if answer.states.is_some() => match state {
             Some("accepted") => (Outcome::Delivered, true),
-            Some("deferred") if planted(Bug::DeferredDelivered) => (Outcome::Delivered, true),
             Some("deferred") => (full, false),
             Some("expired") => (Outcome::NotSent, true),
             Some("no_more") => (Outcome::NotSent, false),
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -9,8 +9,12 @@
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -27,8 +31,8 @@
 /// Why a request brought no answer.
 #[derive(Debug)]
 pub(crate) enum Broken {
-    /// No byte of it was written; here it is again.
-    Unsent(Box<Request<Full<Bytes>>>),
+    /// No byte of it was written.
+    Unwritten,
     /// It may have arrived.
     InDoubt,
     /// An answer came that can't be read.
@@ -40,17 +44,39 @@
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
     seen: watch::Sender<Seen>,
+    request: Arc<Progress>,
     driver: JoinHandle<()>,
 }
 
+/// How far the present request has come on its way out.
+#[derive(Debug, Default)]
+struct Progress(AtomicU8);
+
+impl Progress {
+    /// Its first byte has still to be written.
+    const FRESH: u8 = 1;
+    const WRITTEN: u8 = 2;
+    /// It met bytes, or an end, that it did not ask for: no byte of it was written, nor will be.
+    const CROSSED: u8 = 3;
+
+    fn set(&self, to: u8) {
+        self.0.store(to, Ordering::Relaxed);
+    }
+
+    fn is(&self, what: u8) -> bool {
+        self.0.load(Ordering::Relaxed) == what
+    }
+}
+
 impl Connection {
     /// Opens one, within `limit`.
     pub(crate) async fn open(to: SocketAddr, limit: Duration) -> io::Result<Self> {
         let (seen, _) = watch::channel(Seen::Nothing);
+        let request = Arc::new(Progress::default());
         let opening = async {
             let stream = TcpStream::connect(to).await?;
             stream.set_nodelay(true)?;
-            let watch = Status { lines: Lines::default(), seen: seen.clone() };
+            let watch = Status { lines: Lines::default(), seen: seen.clone(), request: request.clone() };
             let stream = Watched { stream, watch };
             let mut client = http1::Builder::new();
             client.max_buf_size(BUFFER).handshake(TokioIo::new(stream)).await.map_err(io::Error::other)
@@ -60,7 +86,7 @@
             // How it ended shows in the outcome of the request that it carried.
             let _ = connection.await;
         });
-        Ok(Connection { sender, seen, driver })
+        Ok(Connection { sender, seen, request, driver })
     }
 
     /// False once the other side has closed it, or has sent what nothing asked for.
@@ -68,9 +94,9 @@
         !self.sender.is_closed()
     }
 
-    /// Whether it may carry another request. Guards a call against a connection that brought more than one
-    /// answer's bytes: written to it, the call would be lost, or would read the rest as its own answer. The
-    /// driver reads an idle connection and ends it at the first byte, but only when it has had its turn.
+    /// Whether it may carry another request, as far as the driver knows: it reads an idle connection and ends it at
+    /// the first byte, but only when it has had its turn. What it can't know yet shows as the first byte is written
+    /// (see [`Status::before_write`]).
     pub(crate) async fn is_clean(&self) -> bool {
         yield_now().await;
         self.is_open()
@@ -88,9 +114,10 @@
     /// it would hold its slot until the call's time-out.
     pub(crate) async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Broken> {
         if self.sender.ready().await.is_err() {
-            return Err(Broken::Unsent(Box::new(request)));
+            return Err(Broken::Unwritten);
         }
         self.seen.send_replace(Seen::Nothing);
+        self.request.set(Progress::FRESH);
         let mut seen = self.seen.subscribe();
         let answer = tokio::select! {
             biased;
@@ -98,7 +125,8 @@
             () = overdue(&mut seen) => return Err(Broken::Spoilt),
         };
         answer.map_err(|mut e| match e.take_message() {
-            Some(request) => Broken::Unsent(Box::new(request)),
+            Some(_) => Broken::Unwritten,
+            None if self.request.is(Progress::CROSSED) => Broken::Unwritten,
             None if e.error().is_parse() || *self.seen.borrow() != Seen::Nothing => Broken::Spoilt,
             None => Broken::InDoubt,
         })
@@ -185,6 +213,7 @@
 struct Status {
     lines: Lines,
     seen: watch::Sender<Seen>,
+    request: Arc<Progress>,
 }
 
 impl Watch for Status {
@@ -199,6 +228,30 @@
         let found = self.lines.read(fresh);
         self.seen.send_if_modified(|seen| std::mem::replace(seen, found) != found);
     }
+
+    /// Looks at the socket itself just before the first byte of a request: the runtime's readiness may be old. Guards
+    /// the call against a second copy of the last answer, or noise, that came meanwhile: it would be read as this
+    /// call's answer. And against a connection that the other side has closed: written to it, the call may have run
+    /// as far as anybody knows.
+    fn before_write(&mut self, stream: &TcpStream) -> io::Result<()> {
+        if !self.request.is(Progress::FRESH) {
+            return if self.request.is(Progress::CROSSED) {
+                Err(io::ErrorKind::BrokenPipe.into())
+            } else {
+                Ok(())
+            };
+        }
+        match SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]) {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                self.request.set(Progress::WRITTEN);
+                Ok(())
+            }
+            _ => {
+                self.request.set(Progress::CROSSED);
+                Err(io::ErrorKind::BrokenPipe.into())
+            }
+        }
+    }
 }
 
 /// The whole body of an answer, if it is no longer than `most` and came unbroken and soon.
@@ -218,6 +271,64 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use std::io::{Read, Write};
+
+    /// Sends a request after the peer has done something that the runtime could not see yet: this thread stands
+    /// still meanwhile, and nothing that follows looks at the socket but the guard. Gives what came of it, and what
+    /// the peer read.
+    async fn crossed(by: fn(&mut std::net::TcpStream)) -> (Result<StatusCode, Broken>, Vec<u8>) {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let to = listener.local_addr().expect("an address");
+        let (done, done_by_peer) = std::sync::mpsc::channel();
+        let (begin, begun) = std::sync::mpsc::channel();
+        let peer = std::thread::spawn(move || {
+            let (mut stream, _) = listener.accept().expect("it connects");
+            begun.recv().expect("somebody begins it");
+            by(&mut stream);
+            done.send(()).expect("somebody waits");
+            stream.set_read_timeout(Some(Duration::from_millis(300))).expect("a time-out");
+            let mut read = vec![0; 1000];
+            let len = stream.read(&mut read).unwrap_or(0);
+            read.truncate(len);
+            read
+        });
+        let mut connection = Connection::open(to, Duration::from_secs(5)).await.expect("it opens");
+        // The driver has had its turn and waits for the socket.
+        for _ in 0..10 {
+            yield_now().await;
+        }
+        begin.send(()).expect("the peer waits");
+        done_by_peer.recv().expect("it does so");
+        let mut request = Request::new(Full::new(Bytes::from_static(b"body")));
+        *request.method_mut() = hyper::Method::POST;
+        set_host(&mut request, to);
+        let answer = connection.send(request).await.map(|answer| answer.status());
+        (answer, peer.join().expect("it ends"))
+    }
+
+    #[tokio::test]
+    async fn a_copy_that_nobody_has_read_yet_is_no_answer_to_the_next_call() {
+        let copy = |stream: &mut std::net::TcpStream| {
+            stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").expect("it is open");
+        };
+        let (answer, read) = crossed(copy).await;
+        assert!(matches!(answer, Err(Broken::Unwritten)) && read.is_empty(), "{answer:?} {read:?}");
+    }
+
+    #[tokio::test]
+    async fn nothing_is_written_to_a_connection_that_was_closed_unseen() {
+        let close = |stream: &mut std::net::TcpStream| {
+            stream.shutdown(std::net::Shutdown::Write).expect("it is open");
+        };
+        let (answer, read) = crossed(close).await;
+        assert!(matches!(answer, Err(Broken::Unwritten)) && read.is_empty(), "{answer:?} {read:?}");
+    }
+
+    #[tokio::test]
+    async fn a_quiet_connection_carries_the_call() {
+        let (answer, read) = crossed(|_| {}).await;
+        assert!(matches!(answer, Err(Broken::InDoubt)) && read.ends_with(b"body"), "{answer:?} {read:?}");
+    }
 
     fn seen(parts: &[&str]) -> Seen {
         let mut lines = Lines::default();
--- a/crates/http/src/notices.rs
+++ b/crates/http/src/notices.rs
@@ -10,7 +10,6 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 use yarrowhill_engine::{Input, Notice};
-use yarrowhill_faults::{Bug, planted};
 
 const CONNECT: Duration = Duration::from_secs(1);
 const ANSWER: Duration = Duration::from_secs(1);
@@ -35,7 +34,6 @@
                 biased;
                 acknowledged = acknowledged(to, &batch, &mut connection) => match acknowledged {
                     true => break,
-                    false if planted(Bug::NoticeOnce) => break,
                     false => sleep(AGAIN).await,
                 },
                 Ok(()) = at.changed() => {}
--- a/crates/http/src/watched.rs
+++ b/crates/http/src/watched.rs
@@ -10,6 +10,12 @@
 pub(crate) trait Watch: Unpin {
     /// These have just come in, never none.
     fn saw(&mut self, fresh: &[u8]);
+
+    /// Something is about to be written. With an error nothing is, now or later.
+    fn before_write(&mut self, stream: &TcpStream) -> io::Result<()> {
+        let _ = stream;
+        Ok(())
+    }
 }
 
 /// A stream with somebody who looks at what comes in.
@@ -36,6 +42,8 @@
 
 impl<W: Watch> AsyncWrite for Watched<W> {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let Watched { stream, watch } = &mut *self;
+        watch.before_write(stream)?;
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
@@ -44,6 +52,8 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        let Watched { stream, watch } = &mut *self;
+        watch.before_write(stream)?;
         Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 
--- a/crates/http/tests/calls.rs
+++ b/crates/http/tests/calls.rs
@@ -1,5 +1,7 @@
 //! Calls with several messages, over a loopback socket.
 
+use std::io::{Read, Write};
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -59,3 +61,92 @@
     // Closed when it was told, not some time after.
     assert_eq!(timeout(SOON, stream.read(&mut [0; 16])).await.expect("it is closed").unwrap_or(0), 0);
 }
+
+/// An endpoint on a thread of its own, so that it works while this one stands still: answers every call, and does as
+/// it is told right behind the first answer of a connection. Gives the calls that it read, by connection.
+fn endpoint(behind: fn(&mut std::net::TcpStream)) -> (SocketAddr, std::sync::mpsc::Receiver<usize>) {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let to = listener.local_addr().expect("an address");
+    let (read, calls) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        for (n, stream) in listener.incoming().flatten().enumerate() {
+            let read = read.clone();
+            std::thread::spawn(move || serve(stream, n, behind, &read));
+        }
+    });
+    (to, calls)
+}
+
+fn serve(
+    mut stream: std::net::TcpStream,
+    n: usize,
+    behind: fn(&mut std::net::TcpStream),
+    read: &std::sync::mpsc::Sender<usize>,
+) {
+    let mut text = Vec::new();
+    let mut first = true;
+    loop {
+        let mut some = [0; 4096];
+        match stream.read(&mut some) {
+            Ok(len) if len > 0 => text.extend_from_slice(&some[..len]),
+            _ => return,
+        }
+        if !text.ends_with(b"body") {
+            continue;
+        }
+        text.clear();
+        // Nobody listens any longer once the test is over.
+        let _ = read.send(n);
+        // What a copy is followed by is an error: believed, the copy would hide it.
+        let status = if first && n == 0 { "200 OK" } else { "500 Error" };
+        let _ = write!(stream, "HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n");
+        if std::mem::take(&mut first) && n == 0 {
+            std::thread::sleep(SOON / 3);
+            behind(&mut stream);
+        }
+    }
+}
+
+/// Calls twice. Between the two this thread stands still, so that the runtime knows nothing of what comes meanwhile.
+async fn two_calls(behind: fn(&mut std::net::TcpStream)) -> (Vec<Outcome>, Vec<usize>) {
+    let (to, calls) = endpoint(behind);
+    let mut pool = Pool::new(4, Duration::from_secs(5));
+    pool.endpoint(1, Some(to));
+    let (inputs, mut news) = mpsc::channel(8);
+    let mut outcomes = Vec::new();
+    for id in 0..2 {
+        let (_orders, orders) = mpsc::channel(2);
+        let until = Instant::now() + SOON * 20;
+        let items =
+            vec![Item { id, attempt: 0, name: format!("m{id}"), key: None, body: "body".into(), until }];
+        let connect_timeout = Duration::from_secs(1);
+        let call = Call { endpoint: 1, to, items, second_copies: true, connect_timeout, orders };
+        pool.start(call, inputs.clone());
+        match timeout(SOON * 30, news.recv()).await.expect("it ends") {
+            Some(Input::Call(end)) => outcomes.extend(end.ended.iter().map(|e| e.outcome)),
+            other => panic!("{other:?}"),
+        }
+        std::thread::sleep(SOON);
+    }
+    (outcomes, calls.try_iter().collect())
+}
+
+/// A copy of an answer that the runtime has not seen yet is no answer to the next call, which goes out once.
+#[tokio::test]
+async fn a_copy_that_crosses_the_next_call_is_not_its_answer() {
+    let copy = |stream: &mut std::net::TcpStream| {
+        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    };
+    let (outcomes, calls) = two_calls(copy).await;
+    assert_eq!((outcomes, calls), (vec![Outcome::Delivered, Outcome::Error], vec![0, 1]));
+}
+
+/// Nor does a call go to a connection that has been closed, where nobody could tell whether it ran.
+#[tokio::test]
+async fn a_connection_that_was_closed_unseen_carries_no_call() {
+    let close = |stream: &mut std::net::TcpStream| {
+        let _ = stream.shutdown(std::net::Shutdown::Both);
+    };
+    let (outcomes, calls) = two_calls(close).await;
+    assert_eq!((outcomes, calls), (vec![Outcome::Delivered, Outcome::Error], vec![0, 1]));
+}
