--- a/crates/bench/src/daemon.rs
+++ b/crates/bench/src/daemon.rs
@@ -13,7 +13,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
-use yarrowhill_standins::{Class, Discovery, Figures, Ledger, Line, configuration, free_address};
+use yarrowhill_standins::{Class, Discovery, Figures, Ledger, Line, Room, configuration, free_address};
 
 /// Longest body that both forward.
 const BODY: usize = 200;
@@ -79,6 +79,7 @@
         slots: 128,
         fail_back: [2.0, 3000.0, 0.17, 13_000.0],
         seed: 1,
+        room: Room::default(),
     }
 }
 
--- a/crates/engine/src/endpoints.rs
+++ b/crates/engine/src/endpoints.rs
@@ -4,7 +4,6 @@
 use crate::transport::Transport;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
-use yarrowhill_faults::{Bug, planted};
 use yarrowhill_policy::api::{DestId, EndpointId, Entry, Event, Listing, Micros, Settings};
 use yarrowhill_settings::{Names, index};
 
@@ -100,7 +99,6 @@
             kind,
             listing: match line.state {
                 State::InService => Listing::Serving,
-                _ if planted(Bug::CallDraining) => Listing::Serving,
                 State::Terminating => Listing::Draining,
                 State::Terminated => Listing::Deleted,
             },
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -14,7 +14,7 @@
 use tokio::sync::mpsc::{Sender, channel};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
-use yarrowhill_faults::{Bug, Point, pass, planted};
+use yarrowhill_faults::{Point, pass};
 use yarrowhill_journal::{
     Accepted, Durability, End, Journal, JournalError, NoticeEnd, OpenMessage, Options as JournalOptions,
     Record,
@@ -262,7 +262,6 @@
         let Submission { id: name, class, tenant, dest, key, body, deadline, answer } = message;
         if let Some(open) = self.ids.get(&name).and_then(|id| self.messages.get_mut(id))
             && !open.taken_on
-            && !planted(Bug::TakeTwice)
         {
             // Guards the memory: any number of clients may name the same message.
             if open.clients.len() < SAME_MOST {
@@ -273,7 +272,6 @@
             return None;
         }
         let known = match self.journal.end_of(&name) {
-            _ if planted(Bug::TakeTwice) => None,
             Some((End::Delivered, _)) => Some(Answer::Delivered),
             Some((End::Failed, _)) => Some(Answer::Failed),
             Some((End::Refused, _)) => Some(Answer::Refused(None)),
@@ -330,9 +328,6 @@
     fn resume(&mut self, now: Micros, open: OpenMessage) {
         let OpenMessage { accepted, attempts, owed, in_doubt } = open;
         if let Some(end) = owed {
-            if planted(Bug::ForgetOwed) {
-                return;
-            }
             return self.owed.push(Notice { message: accepted.id, end });
         }
         let unix = unix_now();
@@ -375,7 +370,6 @@
         }
         let end = match end {
             End::Refused => NoticeEnd::HandedBack { retry_in_ms: wait.map(|w| w.div_ceil(1000)) },
-            _ if planted(Bug::HandBack) => NoticeEnd::HandedBack { retry_in_ms: None },
             _ => NoticeEnd::GivenUp,
         };
         self.owe(message.accepted, end);
@@ -417,14 +411,6 @@
                 records.push(Record::Sent(message.accepted.id.clone(), send.attempt, unix, zone));
             }
         }
-        if planted(Bug::SendBeforeJournal) {
-            for id in &taken {
-                self.messages.get_mut(id).into_iter().for_each(|m| m.taken_on = m.answer(Answer::Accepted));
-            }
-            self.start_calls(now, sends);
-            self.events.push(Event::Wake);
-            return records.iter().for_each(|r| self.journal.note(r, unix));
-        }
         pass(Point::BeforeCommit);
         if let Err(e) = self.journal.commit(&records, unix) {
             // It may fail in every turn for a while.
@@ -511,7 +497,6 @@
         // the time of the first of them is up. What is answered later counts for none of the others.
         let ends = sends.iter().filter_map(|s| self.messages.get(&s.id)).map(|m| m.give_up_at).min();
         let ends = ends.unwrap_or(now);
-        let ends = if planted(Bug::BelieveLate) { Micros::MAX / 2 } else { ends };
         for send in sends {
             let known = self.endpoints.get(endpoint).is_some();
             let Some(message) = self.messages.get(&send.id).filter(|_| known) else {
@@ -569,16 +554,7 @@
     }
 
     fn ended(&mut self, now: Micros, ended: AttemptEnd) {
-        let AttemptEnd { id, attempt, mut outcome, finished, report, mut wait } = ended;
-        if planted(Bug::IgnoreWait) {
-            wait = None;
-            if let Outcome::Full { wait } = &mut outcome {
-                *wait = None;
-            }
-        }
-        if planted(Bug::HideFailures) && matches!(outcome, Outcome::Full { .. } | Outcome::ConnectFailed) {
-            outcome = Outcome::NotSent;
-        }
+        let AttemptEnd { id, attempt, outcome, finished, report, wait } = ended;
         let Some(out) = self.in_flight.remove(&(id, attempt)) else { return };
         let mut late = false;
         if let Some(call) = self.calls.get_mut(&out.call) {
--- a/crates/fuzz/src/target.rs
+++ b/crates/fuzz/src/target.rs
@@ -15,7 +15,7 @@
 use yarrowhill::Config;
 use yarrowhill_engine::{Answer, Call, Input, Item, Phase, Transport};
 use yarrowhill_http::{Intake, Pool, serve};
-use yarrowhill_standins::{Class, Figures, configuration};
+use yarrowhill_standins::{Class, Figures, Room, configuration};
 
 /// Longer than anything that peers can make the program wait for.
 const SOON: Duration = Duration::from_secs(20);
@@ -86,6 +86,7 @@
         slots: 4,
         fail_back: [2.0, 1000.0, 0.2, 1000.0],
         seed: 1,
+        room: Room::default(),
     };
     let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
     let config = configuration(&figures, nowhere, nowhere, &[]);
--- a/crates/journal/src/frame.rs
+++ b/crates/journal/src/frame.rs
@@ -15,6 +15,9 @@
 use crate::record::{Accepted, Ends, Record};
 use bytes::Bytes;
 use std::collections::HashMap;
+use std::fs::File;
+use std::io;
+use std::os::unix::fs::FileExt;
 
 const MAGIC: &[u8; 8] = b"yhjrnl2\n";
 /// Length of the file's head.
@@ -96,6 +99,64 @@
     Some(record)
 }
 
+/// Where a journal's text stands.
+pub(crate) trait Source {
+    /// Its length in bytes.
+    fn len(&self) -> usize;
+
+    /// `want` bytes from `at` on; fewer only at its end.
+    fn bytes(&mut self, at: usize, want: usize) -> io::Result<&[u8]>;
+}
+
+impl Source for &[u8] {
+    fn len(&self) -> usize {
+        <[u8]>::len(self)
+    }
+
+    fn bytes(&mut self, at: usize, want: usize) -> io::Result<&[u8]> {
+        let at = at.min(<[u8]>::len(self));
+        Ok(&self[at..at.saturating_add(want).min(<[u8]>::len(self))])
+    }
+}
+
+/// A file, of which never more is in memory than a chunk and one frame.
+#[derive(Debug)]
+pub(crate) struct Window {
+    file: File,
+    len: usize,
+    chunk: usize,
+    /// Where in the file the buffer begins.
+    from: usize,
+    buffer: Vec<u8>,
+}
+
+impl Window {
+    /// The first `len` bytes of a file, read a chunk at a time.
+    pub(crate) fn new(file: File, len: u64, chunk: usize) -> Self {
+        Window { file, len: len as usize, chunk: chunk.max(1), from: 0, buffer: Vec::new() }
+    }
+}
+
+impl Source for Window {
+    fn len(&self) -> usize {
+        self.len
+    }
+
+    fn bytes(&mut self, at: usize, want: usize) -> io::Result<&[u8]> {
+        let (at, to) = (at.min(self.len), at.saturating_add(want).min(self.len));
+        let held = self.from..self.from + self.buffer.len();
+        if at < held.start || to > held.end {
+            // What is held of it stays, and what is before it goes.
+            let kept = if held.contains(&at) { self.buffer.split_off(at - held.start) } else { Vec::new() };
+            (self.from, self.buffer) = (at, kept);
+            let (had, end) = (self.buffer.len(), to.max(at + self.chunk).min(self.len));
+            self.buffer.resize(end - at, 0);
+            self.file.read_exact_at(&mut self.buffer[had..], (at + had) as u64)?;
+        }
+        Ok(&self.buffer[at - self.from..to - self.from])
+    }
+}
+
 /// What one look at the front of a text finds.
 enum Front {
     Whole(Record, usize),
@@ -105,39 +166,45 @@
     Nothing,
 }
 
-fn front(mark: Mark, text: &[u8]) -> Front {
-    if text.len() < FRAME_HEAD {
-        let known = text.len().min(4);
-        return if text[..known] == mark.0[..known] { Front::Torn } else { Front::Nothing };
+fn front(mark: Mark, text: &mut impl Source, at: usize) -> io::Result<Front> {
+    let left = text.len() - at;
+    let head = text.bytes(at, FRAME_HEAD)?;
+    if head.len() < FRAME_HEAD {
+        let known = head.len().min(4);
+        return Ok(if head[..known] == mark.0[..known] { Front::Torn } else { Front::Nothing });
     }
-    let head = &text[..FRAME_HEAD];
     if head[..4] != mark.0 || number(head, 12) != Some(crc32fast::hash(&head[..12])) {
-        return Front::Nothing;
+        return Ok(Front::Nothing);
     }
-    let size = FRAME_HEAD + number(head, 4).unwrap_or(0) as usize;
-    let Some(bytes) = text.get(FRAME_HEAD..size) else { return Front::Torn };
-    match payload(bytes) {
-        Some(record) if number(head, 8) == Some(crc32fast::hash(bytes)) => Front::Whole(record, size),
-        _ => Front::Spoilt(size),
+    let (size, sum) = (FRAME_HEAD + number(head, 4).unwrap_or(0) as usize, number(head, 8));
+    if size > left {
+        return Ok(Front::Torn);
     }
+    let bytes = &text.bytes(at, size)?[FRAME_HEAD..];
+    Ok(match payload(bytes) {
+        Some(record) if sum == Some(crc32fast::hash(bytes)) => Front::Whole(record, size),
+        _ => Front::Spoilt(size),
+    })
 }
 
-/// Reads a file: the mark of its frames (none for a file of the first version or without any frame), and its
-/// pieces one by one, so that never more than one record of a long file is in memory beside it.
-pub(crate) fn read(text: &[u8]) -> (Option<Mark>, Pieces<'_>) {
-    let named = text.get(8..12).and_then(|m| m.try_into().ok()).map(Mark);
-    if let Some(mark) = named.filter(|mark| text.starts_with(&file_head(*mark))) {
-        return (Some(mark), Pieces::new(Form::Marked(mark), text, FILE_HEAD));
+/// Reads a text: the mark of its frames (none for one of the first version or without any frame), and its pieces one
+/// by one, so that never more than one record of a long file is in memory.
+pub(crate) fn read<S: Source>(mut text: S) -> io::Result<(Option<Mark>, Pieces<S>)> {
+    let head = text.bytes(0, FILE_HEAD)?;
+    let named = head.get(8..12).and_then(|m| m.try_into().ok()).map(Mark);
+    if let Some(mark) = named.filter(|mark| head == file_head(*mark)) {
+        return Ok((Some(mark), Pieces::new(Form::Marked(mark), text, FILE_HEAD)));
     }
     let mut first = Pieces::new(Form::First, text, 0);
-    if matches!(first.next(), Some(Piece::Record { .. })) {
-        return (None, Pieces::new(Form::First, text, 0));
+    if matches!(first.piece()?, Some(Piece::Record { .. })) {
+        return Ok((None, Pieces::new(Form::First, first.text, 0)));
     }
-    match likeliest(text) {
-        Some(mark) => (Some(mark), Pieces::new(Form::Marked(mark), text, 0)),
+    let mut text = first.text;
+    match likeliest(&mut text)? {
+        Some(mark) => Ok((Some(mark), Pieces::new(Form::Marked(mark), text, 0))),
         // The head of a new file may be torn as well.
-        None if text.len() < FILE_HEAD => (None, Pieces::new(Form::First, text, 0)),
-        None => (None, Pieces::new(Form::Unknown, text, 0)),
+        None if text.len() < FILE_HEAD => Ok((None, Pieces::new(Form::First, text, 0))),
+        None => Ok((None, Pieces::new(Form::Unknown, text, 0))),
     }
 }
 
@@ -150,105 +217,113 @@
     Unknown,
 }
 
-/// The pieces of a file, in their order; every byte behind the file's head belongs to one.
-pub(crate) struct Pieces<'a> {
+/// The pieces of a text, in their order; every byte behind the file's head belongs to one.
+pub(crate) struct Pieces<S> {
     form: Form,
-    text: &'a [u8],
+    text: S,
     at: usize,
     /// Found behind a stretch of damage, which is told first.
     held: Option<Piece>,
 }
 
-impl<'a> Pieces<'a> {
-    fn new(form: Form, text: &'a [u8], at: usize) -> Self {
+impl<S: Source> Pieces<S> {
+    fn new(form: Form, text: S, at: usize) -> Self {
         Pieces { form, text, at, held: None }
     }
 
+    /// The next piece, or nothing at the end.
+    ///
+    /// # Errors
+    ///
+    /// The text can't be had.
+    pub(crate) fn piece(&mut self) -> io::Result<Option<Piece>> {
+        if let Some(held) = self.held.take() {
+            return Ok(Some(held));
+        }
+        if self.at >= self.text.len() {
+            return Ok(None);
+        }
+        match self.form {
+            Form::Marked(mark) => self.marked(mark),
+            Form::First => self.first().map(Some),
+            Form::Unknown => {
+                let (at, size) = self.rest();
+                Ok(Some(Piece::Damaged { at, size }))
+            }
+        }
+    }
+
     fn rest(&mut self) -> (usize, usize) {
         let at = std::mem::replace(&mut self.at, self.text.len());
         (at, self.text.len() - at)
     }
 
-    fn marked(&mut self, mark: Mark) -> Option<Piece> {
+    fn marked(&mut self, mark: Mark) -> io::Result<Option<Piece>> {
         let from = self.at;
         while self.at < self.text.len() {
             let at = self.at;
-            match front(mark, &self.text[at..]) {
+            match front(mark, &mut self.text, at)? {
                 Front::Whole(record, size) => {
                     self.at = at + size;
                     let piece = Piece::Record { record, at, size };
                     if at == from {
-                        return Some(piece);
+                        return Ok(Some(piece));
                     }
                     self.held = Some(piece);
-                    return Some(Piece::Damaged { at: from, size: at - from });
+                    return Ok(Some(Piece::Damaged { at: from, size: at - from }));
                 }
                 Front::Torn if at == from => {
                     let (at, size) = self.rest();
-                    return Some(Piece::Torn { at, size });
+                    return Ok(Some(Piece::Torn { at, size }));
                 }
                 Front::Spoilt(size) => self.at = at + size,
-                Front::Nothing | Front::Torn => self.at = next_mark(mark, self.text, at + 1),
+                Front::Nothing | Front::Torn => self.at = next_mark(mark, &mut self.text, at + 1)?,
             }
         }
-        (from < self.at).then_some(Piece::Damaged { at: from, size: self.at - from })
+        Ok((from < self.at).then_some(Piece::Damaged { at: from, size: self.at - from }))
     }
 
     /// Length, checksum, payload; what is behind the first that is not whole is lost.
-    fn first(&mut self) -> Piece {
-        let (at, rest) = (self.at, &self.text[self.at..]);
-        let record = number(rest, 0).zip(number(rest, 4)).and_then(|(len, sum)| {
-            let bytes = rest.get(FIRST_HEAD..FIRST_HEAD.checked_add(len as usize)?)?;
-            (crc32fast::hash(bytes) == sum).then(|| payload(bytes)).flatten().map(|r| (r, bytes.len()))
-        });
-        match record {
-            Some((record, len)) => {
-                let size = FIRST_HEAD + len;
+    fn first(&mut self) -> io::Result<Piece> {
+        let at = self.at;
+        let head = self.text.bytes(at, FIRST_HEAD)?;
+        if let Some((len, sum)) = number(head, 0).zip(number(head, 4)) {
+            let size = FIRST_HEAD.saturating_add(len as usize);
+            let bytes = self.text.bytes(at, size)?;
+            if bytes.len() == size
+                && crc32fast::hash(&bytes[FIRST_HEAD..]) == sum
+                && let Some(record) = payload(&bytes[FIRST_HEAD..])
+            {
                 self.at += size;
-                Piece::Record { record, at, size }
-            }
-            None => {
-                let (at, size) = self.rest();
-                Piece::Torn { at, size }
+                return Ok(Piece::Record { record, at, size });
             }
         }
+        let (at, size) = self.rest();
+        Ok(Piece::Torn { at, size })
     }
 }
 
-impl Iterator for Pieces<'_> {
-    type Item = Piece;
-
-    fn next(&mut self) -> Option<Piece> {
-        if let Some(held) = self.held.take() {
-            return Some(held);
-        }
-        if self.at >= self.text.len() {
-            return None;
-        }
-        match self.form {
-            Form::Marked(mark) => self.marked(mark),
-            Form::First => Some(self.first()),
-            Form::Unknown => {
-                let (at, size) = self.rest();
-                Some(Piece::Damaged { at, size })
-            }
+fn next_mark(mark: Mark, text: &mut impl Source, mut from: usize) -> io::Result<usize> {
+    const STEP: usize = 4096;
+    while from < text.len() {
+        let bytes = text.bytes(from, STEP)?;
+        if let Some(n) = bytes.windows(4).position(|w| w == mark.0) {
+            return Ok(from + n);
         }
+        // A mark may begin in the last three bytes.
+        from += bytes.len().saturating_sub(3).max(1);
     }
-}
-
-fn next_mark(mark: Mark, text: &[u8], from: usize) -> usize {
-    let rest = text.get(from..).unwrap_or_default();
-    rest.windows(4).position(|w| w == mark.0).map_or(text.len(), |n| from + n)
+    Ok(text.len())
 }
 
 /// With the file's head lost, the mark whose frames cover the most: a body that holds frames of its own is
 /// always shorter than the frame around it. Under half of the file is no proof.
-fn likeliest(text: &[u8]) -> Option<Mark> {
+fn likeliest(text: &mut impl Source) -> io::Result<Option<Mark>> {
     let mut covered: HashMap<[u8; 4], usize> = HashMap::new();
     let mut at = 0;
     while at + FRAME_HEAD <= text.len() {
-        let mark = [text[at], text[at + 1], text[at + 2], text[at + 3]];
-        match front(Mark(mark), &text[at..]) {
+        let Ok(mark) = <[u8; 4]>::try_from(text.bytes(at, 4)?) else { break };
+        match front(Mark(mark), text, at)? {
             Front::Whole(_, size) => {
                 *covered.entry(mark).or_default() += size;
                 at += size;
@@ -256,8 +331,8 @@
             _ => at += 1,
         }
     }
-    let (mark, size) = covered.into_iter().max_by_key(|(mark, size)| (*size, *mark))?;
-    (size * 2 >= text.len()).then_some(Mark(mark))
+    let most = covered.into_iter().max_by_key(|(mark, size)| (*size, *mark));
+    Ok(most.filter(|(_, size)| size * 2 >= text.len()).map(|(mark, _)| Mark(mark)))
 }
 
 #[cfg(test)]
@@ -307,8 +382,9 @@
         (text, ends)
     }
 
-    fn all(text: &[u8]) -> (Option<Mark>, Vec<Piece>) {
-        let (mark, pieces) = read(text);
+    pub(crate) fn all(text: impl Source) -> (Option<Mark>, Vec<Piece>) {
+        let (mark, mut pieces) = read(text).expect("it can be had");
+        let pieces = std::iter::from_fn(move || pieces.piece().expect("it can be had"));
         (mark, pieces.collect())
     }
 
@@ -330,7 +406,7 @@
             let at = cut.index(text.len() + 1);
             text.truncate(at);
             let whole = ends.iter().filter(|end| **end <= at).count().saturating_sub(1);
-            let (_, pieces) = all(&text);
+            let (_, pieces) = all(&text[..]);
             prop_assert_eq!(records(&pieces), &list[..whole]);
             prop_assert!(!pieces.iter().any(|p| matches!(p, Piece::Damaged { .. })), "{:?}", pieces);
         }
@@ -343,7 +419,7 @@
             let (mut text, ends) = text(&list);
             let at = at.index(text.len());
             text[at] ^= flip;
-            let (mark, pieces) = all(&text);
+            let (mark, pieces) = all(&text[..]);
             let hit = ends.iter().filter(|end| **end <= at).count();
             let kept: Vec<Record> = list.iter().enumerate().filter(|(n, _)| hit != n + 1).map(|(_, r)| r.clone()).collect();
             prop_assert_eq!(records(&pieces), kept.clone());
@@ -361,7 +437,7 @@
             let (text, ends) = text(&list);
             let (from, to) = (ends[1] + 3, ends[2] - 3);
             let damaged: Vec<u8> = [&text[..from], &noise, &text[to..]].concat();
-            let (_, pieces) = all(&damaged);
+            let (_, pieces) = all(&damaged[..]);
             let kept: Vec<Record> = [&list[..1], &list[2..]].concat();
             prop_assert_eq!(records(&pieces), kept);
         }
@@ -380,16 +456,41 @@
             for at in [0, FILE_HEAD + 1, FILE_HEAD + FRAME_HEAD + 3, head] {
                 let mut damaged = own.clone();
                 damaged[at] ^= 0x55;
-                let got = records(&all(&damaged).1);
+                let got = records(&all(&damaged[..]).1);
                 prop_assert!(got.iter().all(|r| matches!(r, Record::Gap) || r.id() == Some("outer")), "{} {:?}", at, got);
             }
         }
 
+        /// Through a window of any size a file reads as it does from memory, and no more of it is held than a chunk
+        /// and the longest frame.
+        #[test]
+        fn a_window_reads_what_memory_reads(
+            list in proptest::collection::vec(record(), 0..12), chunk in 1..200usize,
+            hits in proptest::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 0..3)
+        ) {
+            let (mut text, ends) = text(&list);
+            for (at, byte) in hits {
+                let at = at.index(text.len());
+                text[at] ^= byte;
+            }
+            let mut file = tempfile::tempfile().expect("a file");
+            std::io::Write::write_all(&mut file, &text).expect("it is writable");
+            let window = || Window::new(file.try_clone().expect("a descriptor"), text.len() as u64, chunk);
+            prop_assert_eq!(all(window()), all(&text[..]));
+            let longest = ends.windows(2).map(|w| w[1] - w[0]).max().unwrap_or(0);
+            let (_, mut pieces) = read(window()).expect("it can be had");
+            while pieces.piece().expect("it can be had").is_some() {
+                let damage = 2 * text.len() * usize::from(all(&text[..]).1.iter().any(|p| !matches!(p, Piece::Record { .. })));
+                let most = chunk.max(longest).max(FILE_HEAD) + damage;
+                prop_assert!(pieces.text.buffer.len() <= most, "{} held", pieces.text.buffer.len());
+            }
+        }
+
         /// Random bytes are never fatal, and every byte is accounted for.
         #[test]
         fn any_bytes_can_be_read(text in proptest::collection::vec(any::<u8>(), 0..300), head in any::<bool>()) {
             let text = if head { [&file_head(MARK)[..], &text].concat() } else { text };
-            let (_, pieces) = all(&text);
+            let (_, pieces) = all(&text[..]);
             let sum: usize = pieces.iter().map(|p| match p {
                 Piece::Record { size, .. } | Piece::Damaged { size, .. } | Piece::Torn { size, .. } => *size,
             }).sum();
@@ -409,7 +510,7 @@
             old.extend_from_slice(payload);
         }
         old.extend_from_slice(&[9, 0, 0]);
-        let (mark, pieces) = all(&old);
+        let (mark, pieces) = all(&old[..]);
         assert_eq!((mark, records(&pieces).len()), (None, 2));
         assert!(matches!(pieces.last(), Some(Piece::Torn { size: 3, .. })));
     }
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -52,9 +52,10 @@
 /// assert_eq!(yarrowhill_journal::survey(b"no journal"), (0, 10));
 /// ```
 pub fn survey(text: &[u8]) -> (usize, usize) {
-    let (_, pieces) = frame::read(text);
     let (mut replay, mut lost) = (replay::Replay::default(), 0);
-    for piece in pieces {
+    // Memory can always be had.
+    let Ok((_, mut pieces)) = frame::read(text) else { return (0, 0) };
+    while let Ok(Some(piece)) = pieces.piece() {
         if let frame::Piece::Damaged { size, .. } | frame::Piece::Torn { size, .. } = piece {
             lost += size;
         }
--- a/crates/journal/src/replay.rs
+++ b/crates/journal/src/replay.rs
@@ -14,7 +14,6 @@
 use crate::frame::Piece;
 use crate::record::{Accepted, NoticeEnd, Record};
 use std::collections::HashMap;
-use yarrowhill_faults::{Bug, planted};
 
 /// An attempt found in the journal.
 #[derive(Clone, Debug, PartialEq)]
@@ -43,11 +42,12 @@
 /// The state of all messages after the records so far.
 #[derive(Default)]
 pub(crate) struct Replay {
-    order: Vec<String>,
-    open: HashMap<String, OpenMessage>,
+    /// With the number of the record by which each was taken on.
+    open: HashMap<String, (usize, OpenMessage)>,
     /// Messages named behind a gap whose content is lost, and their end where it is known.
     orphans: HashMap<String, NoticeEnd>,
     gap: bool,
+    taken: usize,
     records: usize,
 }
 
@@ -84,15 +84,15 @@
         match record {
             Record::Accepted(accepted) => {
                 self.orphans.remove(&accepted.id);
-                self.order.push(accepted.id.clone());
                 let id = accepted.id.clone();
                 let open = OpenMessage { accepted, attempts: Vec::new(), owed: None, in_doubt: false };
-                self.open.insert(id, open);
+                // An id that came again after its end stands where it was taken on last.
+                self.taken += 1;
+                self.open.insert(id, (self.taken, open));
             }
             // Without an end it may have run: the process ended while it was out.
-            Record::Sent(..) if planted(Bug::ForgetAttempt) => {}
             Record::Sent(id, attempt, sent, zone) => {
-                if let Some(open) = self.open.get_mut(&id) {
+                if let Some((_, open)) = self.open.get_mut(&id) {
                     fill(&mut open.attempts, attempt + 1);
                     if let Some(a) = open.attempts.get_mut(attempt) {
                         *a = Attempt { sent, zone, may_have_run: true };
@@ -100,7 +100,7 @@
                 }
             }
             Record::Ended(id, attempt, may_have_run) => {
-                if let Some(open) = self.open.get_mut(&id) {
+                if let Some((_, open)) = self.open.get_mut(&id) {
                     if self.gap {
                         fill(&mut open.attempts, attempt + 1);
                     }
@@ -110,7 +110,7 @@
                 }
             }
             Record::Owed(id, end, _) => {
-                if let Some(open) = self.open.get_mut(&id) {
+                if let Some((_, open)) = self.open.get_mut(&id) {
                     open.owed = Some(end);
                 }
             }
@@ -121,17 +121,16 @@
             Record::Ends(_) => {}
             Record::Gap => {
                 self.gap = true;
-                self.open.values_mut().for_each(|open| open.in_doubt = true);
+                self.open.values_mut().for_each(|(_, open)| open.in_doubt = true);
             }
         }
     }
 
     /// The open messages in the order taken, and the ends owed for those whose content is lost.
-    pub(crate) fn finish(mut self) -> (Vec<OpenMessage>, Vec<(String, NoticeEnd)>) {
-        // An id that came again after its end stands where it was taken on last.
-        let mut open: Vec<OpenMessage> =
-            self.order.iter().rev().filter_map(|id| self.open.remove(id)).collect();
-        open.reverse();
+    pub(crate) fn finish(self) -> (Vec<OpenMessage>, Vec<(String, NoticeEnd)>) {
+        let mut open: Vec<(usize, OpenMessage)> = self.open.into_values().collect();
+        open.sort_unstable_by_key(|(taken, _)| *taken);
+        let open = open.into_iter().map(|(_, open)| open).collect();
         let mut orphans: Vec<(String, NoticeEnd)> = self.orphans.into_iter().collect();
         orphans.sort_by(|a, b| a.0.cmp(&b.0));
         (open, orphans)
--- a/crates/journal/src/store.rs
+++ b/crates/journal/src/store.rs
@@ -1,17 +1,17 @@
 //! The file: appending, compacting, room, and what is done about damage.
 
 use crate::ends::{self, Ends, Name};
-use crate::frame::{self, FILE_HEAD, Mark, Piece};
+use crate::frame::{self, FILE_HEAD, Mark, Piece, Window};
 use crate::record::{self, End, NoticeEnd, Record};
 use crate::replay::{OpenMessage, Replay};
 use bytes::Bytes;
 use std::collections::HashMap;
 use std::fs::{self, File, OpenOptions, TryLockError};
 use std::hash::{BuildHasher, RandomState};
-use std::io::{self, BufWriter, Read, Write};
+use std::io::{self, BufWriter, Write};
 use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
-use yarrowhill_faults::{Bug, Point, pass, planted};
+use yarrowhill_faults::{Point, pass};
 
 /// Room kept for each open message, so that its attempts and its end still fit when the disk is full.
 const RESERVE: u64 = 1024;
@@ -28,6 +28,8 @@
 const SCARCE: u64 = 1000;
 /// After a write that failed, the file is written anew so often (ms) even where that frees little.
 const COMPACT_AGAIN: u64 = 50;
+/// What is read of the file at a time when it is opened.
+const CHUNK: usize = 64 << 10;
 /// What is gathered of a compacted copy before it is written.
 const COPY_BUFFER: usize = 16 << 10;
 /// Bytes that can't be read are kept aside up to this part of the bound.
@@ -160,16 +162,15 @@
             Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e.into()),
             _ => {}
         }
-        let mut file = OpenOptions::new().read(true).append(true).create(true).open(&path)?;
-        let mut text = Vec::new();
-        file.read_to_end(&mut text)?;
-        let (mark, pieces) = frame::read(&text);
+        let file = OpenOptions::new().read(true).append(true).create(true).open(&path)?;
+        let len = file.metadata()?.len();
+        let (mark, mut pieces) = frame::read(Window::new(file.try_clone()?, len, CHUNK))?;
         let mut journal = Journal {
             path,
             _lock: lock,
             file,
             mark: mark.unwrap_or_else(new_mark),
-            len: text.len() as u64,
+            len,
             limit: options.limit,
             durability: options.durability,
             live: HashMap::new(),
@@ -186,7 +187,7 @@
         let mut recovered = Recovered::default();
         let mut replay = Replay::default();
         let aside = journal.path.with_extension("damaged");
-        for piece in pieces {
+        while let Some(piece) = pieces.piece()? {
             match &piece {
                 Piece::Record { record, at, size } => {
                     let span = Span { at: *at as u64, len: *size as u32 };
@@ -202,7 +203,7 @@
                         "journal: {size} bytes at {at} can't be read; kept in {}",
                         aside.display()
                     );
-                    keep_aside(&aside, &text[*at..at + size], options.limit / ASIDE_PART);
+                    keep_aside(&aside, &journal.file, *at as u64, *size, options.limit / ASIDE_PART);
                 }
                 Piece::Torn { at, size } => {
                     recovered.torn = *size as u64;
@@ -225,7 +226,7 @@
             journal.len = FILE_HEAD as u64;
         } else if mark.is_none() || !recovered.damage.is_empty() {
             // Written anew: in the present form, and with the damage noted in its place.
-            match journal.write_anew(now, |journal, out| journal.copy_pieces(&text, out)) {
+            match journal.write_anew(now, Journal::copy_pieces) {
                 Err(JournalError::Full) if mark.is_some() => {
                     tracing::error!("journal: no room to write it anew without its damage");
                 }
@@ -309,8 +310,7 @@
     pub fn commit(&mut self, records: &[Record], now: u64) -> Result<(), JournalError> {
         let noted = self.backlog.len();
         let mut spans = Vec::with_capacity(records.len());
-        let lost = usize::from(planted(Bug::LoseRecord));
-        for record in &records[..records.len().saturating_sub(lost)] {
+        for record in records {
             spans.push(self.put(record));
         }
         if self.backlog.is_empty() {
@@ -533,12 +533,12 @@
     }
 
     /// What is still of use of a text that is damaged, or of the first version.
-    fn copy_pieces(&self, text: &[u8], out: &mut Copy) -> Result<(), JournalError> {
-        let (_, pieces) = frame::read(text);
+    fn copy_pieces(&self, out: &mut Copy) -> Result<(), JournalError> {
+        let (_, mut pieces) = frame::read(Window::new(self.file.try_clone()?, self.len, CHUNK))?;
         // Whether a message that is still open has been kept so far: what a gap means for others is past.
         let mut open = false;
         let mut made = Vec::new();
-        for piece in pieces {
+        while let Some(piece) = pieces.piece()? {
             let (record, fresh) = match piece {
                 Piece::Record { record, .. } => (record, false),
                 Piece::Damaged { .. } => (Record::Gap, true),
@@ -614,10 +614,18 @@
 }
 
 /// Adds bytes that can't be read to a file beside the journal. They are worth no failure.
-fn keep_aside(path: &Path, bytes: &[u8], most: u64) {
+fn keep_aside(path: &Path, from: &File, at: u64, size: usize, most: u64) {
     let kept = OpenOptions::new().append(true).create(true).open(path).and_then(|mut file| {
         let room = most.saturating_sub(file.metadata()?.len());
-        file.write_all(&bytes[..bytes.len().min(room as usize)])
+        let (mut at, mut left) = (at, size.min(room as usize));
+        let mut buffer = vec![0; left.min(CHUNK)];
+        while left > 0 {
+            let part = left.min(CHUNK);
+            from.read_exact_at(&mut buffer[..part], at)?;
+            file.write_all(&buffer[..part])?;
+            (at, left) = (at + part as u64, left - part);
+        }
+        Ok(())
     });
     if let Err(e) = kept {
         tracing::error!("journal: damaged bytes are not kept aside: {e}");
--- /dev/null
+++ b/crates/rig/src/bugs.rs
@@ -0,0 +1,134 @@
+//! Known bugs, each a small patch beside the rig: the product's own text knows nothing of them. A rig that does not
+//! catch them proves nothing by its silence.
+
+use crate::load::Load;
+use crate::script::{Act, Dest, Script};
+use yarrowhill_standins::Faults;
+
+macro_rules! bugs {
+    ($($(#[$doc:meta])* $variant:ident = $text:literal,)*) => {
+        /// A bug that can be planted.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+        pub enum Bug { $($(#[$doc])* $variant,)* }
+
+        impl Bug {
+            /// All of them.
+            pub const ALL: &[Bug] = &[$(Bug::$variant,)*];
+
+            /// Its name, also that of its patch.
+            pub fn name(self) -> &'static str {
+                match self { $(Bug::$variant => $text,)* }
+            }
+
+            /// The patch that plants it: a unified diff against the workspace's root.
+            pub fn patch(self) -> &'static str {
+                match self { $(Bug::$variant => include_str!(concat!("../bugs/", $text, ".patch")),)* }
+            }
+        }
+    };
+}
+
+bugs! {
+    /// An answer that comes when the time of a message in the call is up is believed.
+    BelieveLate = "believe-an-answer-after-its-time",
+    /// Whatever comes on a connection is taken for a delivery, also a copy or the rest of another answer.
+    BelieveCopy = "believe-a-second-copy",
+    /// Calls start and clients are answered before the journal is written, which then is a turn late.
+    SendBeforeJournal = "send-before-the-journal",
+    /// Attempts found in the journal are forgotten.
+    ForgetAttempt = "forget-an-attempt-at-replay",
+    /// Told waits are not passed on to the module.
+    IgnoreWait = "ignore-a-wait",
+    /// A connection that broke after the call was written counts as one that never came up.
+    ResetNeverRan = "take-a-reset-for-no-connection",
+    /// A spoilt answer counts as a call that never ran.
+    SpoiltNeverRan = "take-a-spoilt-answer-for-never-ran",
+    /// A notice is sent once, acknowledged or not, and forgotten.
+    NoticeOnce = "send-a-notice-once",
+    /// Endpoints that drain go on being called.
+    CallDraining = "call-a-draining-endpoint",
+    /// An id that is handed in again becomes a message of its own.
+    TakeTwice = "take-an-id-twice",
+    /// Notices that are owed are forgotten at replay.
+    ForgetOwed = "forget-an-owed-notice-at-replay",
+    /// Deferred messages of a batch count as delivered.
+    DeferredDelivered = "take-deferred-for-accepted",
+    /// A message that may have run is handed back for another try.
+    HandBack = "hand-back-what-may-have-run",
+    /// Failures are not passed on to the module, so that it sees no outage.
+    HideFailures = "hide-failures-from-the-module",
+    /// The last record of every turn is not written.
+    LoseRecord = "lose-the-last-record-of-a-turn",
+    /// Beyond 4,096 ends a further one is not remembered.
+    DropEnd = "drop-an-end-when-full",
+}
+
+/// What is played against a bug.
+#[derive(Clone, Debug)]
+pub enum Scene {
+    /// A script.
+    Script(Script),
+    /// A load.
+    Load(Load),
+}
+
+impl Bug {
+    /// The one of that name.
+    pub fn named(name: &str) -> Option<Self> {
+        Bug::ALL.iter().copied().find(|bug| bug.name() == name)
+    }
+
+    /// What is made for it: a calm world in which that alone goes wrong which the bug gets wrong, placed where it must
+    /// show. The seed varies traffic and timing.
+    pub fn scene(self, seed: u64) -> Scene {
+        let dest = |number, batches, limit, faults| Dest {
+            number,
+            batches,
+            endpoints: 2,
+            pace: 30.0,
+            limit,
+            faults,
+        };
+        let calm = |faults: Faults| vec![dest(10, true, 60.0, faults.clone()), dest(11, false, 60.0, faults)];
+        let none = Faults::default();
+        let down = |at, shut, span| (at, Act::Down { dest: 0, shut, span });
+        let kill = |at, pause| (at, Act::Kill(pause));
+        let (dests, acts) = match self {
+            Bug::BelieveLate => (calm(Faults { last_moment: 0.2, late: 0.1, ..none }), vec![]),
+            Bug::BelieveCopy => (calm(Faults { copy: 0.2, spoilt: 0.2, reset: 0.1, ..none }), vec![]),
+            Bug::SendBeforeJournal => (calm(none), vec![kill(900.0, 100.0), kill(1900.0, 100.0)]),
+            // Calls that never answer are out when the process ends.
+            Bug::ForgetAttempt => (calm(Faults { silent: 0.3, ..none }), vec![kill(1500.0, 100.0)]),
+            // A shut door tells how long it stays shut.
+            Bug::IgnoreWait => {
+                let other = (1700.0, Act::Down { dest: 1, shut: true, span: 1200.0 });
+                (calm(none), vec![down(400.0, true, 1200.0), other])
+            }
+            Bug::ResetNeverRan => (calm(Faults { reset: 0.3, ..none }), vec![]),
+            Bug::SpoiltNeverRan => (calm(Faults { spoilt: 0.3, ..none }), vec![]),
+            Bug::NoticeOnce => (calm(Faults { error: 0.3, ..none }), vec![(0.0, Act::DropNotices(2))]),
+            Bug::CallDraining => {
+                let replace = |at, dest| (at, Act::Replace { dest, endpoint: 0, drains: 2500.0 });
+                (calm(none), vec![replace(300.0, 0), replace(300.0, 1)])
+            }
+            Bug::TakeTwice | Bug::LoseRecord => (calm(none), vec![kill(1500.0, 100.0)]),
+            // No notice is acknowledged before the process ends.
+            Bug::ForgetOwed => {
+                (calm(Faults { error: 0.3, ..none }), vec![(0.0, Act::DropNotices(1)), kill(2500.0, 400.0)])
+            }
+            Bug::DeferredDelivered => (calm(Faults { mixed: 0.5, ..none }), vec![]),
+            Bug::HandBack => (calm(Faults { error: 0.3, reset: 0.1, ..none }), vec![]),
+            Bug::HideFailures => {
+                let dests = vec![dest(10, false, 40.0, none.clone()), dest(11, false, 40.0, none)];
+                (dests, vec![down(600.0, true, 1000.0)])
+            }
+            // More ends at a time than it remembers.
+            Bug::DropEnd => {
+                return Scene::Load(Load { seed, rate: 1500.0, seconds: 5.0, again: 0.3, ..Load::default() });
+            }
+        };
+        let clients = if self == Bug::TakeTwice { [0.0, 0.0, 0.5] } else { [0.0; 3] };
+        let rate = 80.0;
+        Scene::Script(Script { seed, rate, dests, acts, clients, die: None, file_most: None, damage: None })
+    }
+}
--- a/crates/rig/src/play.rs
+++ b/crates/rig/src/play.rs
@@ -1,6 +1,7 @@
 //! Plays a script.
 
-use crate::script::{Act, Script};
+use crate::script::{Act, Dest, Script};
+use rand::{RngExt, SeedableRng};
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::io;
@@ -66,36 +67,48 @@
     Talk,
 }
 
-/// Plays a script against a program, with a bug planted or none. `folder` is emptied afterwards if all went well.
-///
-/// # Errors
-///
-/// The stand-ins or the program can't be started.
-pub async fn play(script: &Script, program: &Path, bug: Option<&str>, folder: &Path) -> io::Result<Played> {
-    let ledger = Ledger::default();
-    let lateness = Arc::new(AtomicU64::new(0));
-    let watch = tokio::spawn(watch_clock(lateness.clone()));
-    let mut rng = Rng::new(script.seed);
-    let mut dests = Vec::new();
-    let mut endpoints = Vec::new();
-    let mut lines = Vec::new();
-    for d in &script.dests {
-        let dest = Destination::new(d.number, d.pace, d.limit, d.faults.clone(), rng.fork(), ledger.clone());
-        let mut list = Vec::new();
+/// The stand-ins of a run, started.
+pub(crate) struct Stage {
+    pub(crate) dests: Vec<Destination>,
+    pub(crate) endpoints: Vec<Vec<Option<Endpoint>>>,
+    pub(crate) discovery: Discovery,
+    pub(crate) lines: Vec<Line>,
+}
+
+/// Starts destinations with their endpoints, and a discovery that lists them.
+pub(crate) async fn stage(list: &[Dest], rng: &mut Rng, ledger: &Ledger) -> io::Result<Stage> {
+    let (mut dests, mut endpoints, mut lines) = (Vec::new(), Vec::new(), Vec::new());
+    for d in list {
+        let chance = Rng::from_rng(rng);
+        let dest = Destination::new(d.number, d.pace, d.limit, d.faults.clone(), chance, ledger.clone());
+        let mut own = Vec::new();
         for n in 0..d.endpoints {
             let uid = format!("s-{}-{n}", d.number);
             let endpoint = Endpoint::start(&uid, loopback(), &dest).await?;
             let kind = if d.batches { "several" } else { "plain" };
             lines.push(Line::new(&uid, endpoint.addr, d.number, kind, d.limit));
-            list.push(Some(endpoint));
+            own.push(Some(endpoint));
         }
         dests.push(dest);
-        endpoints.push(list);
+        endpoints.push(own);
     }
     let discovery = Discovery::start(lines.clone(), ledger.clone()).await?;
+    Ok(Stage { dests, endpoints, discovery, lines })
+}
+
+/// Plays a script against a program, in a folder of its own.
+///
+/// # Errors
+///
+/// The stand-ins or the program can't be started.
+pub async fn play(script: &Script, program: &Path, folder: &Path) -> io::Result<Played> {
+    let ledger = Ledger::default();
+    let lateness = Arc::new(AtomicU64::new(0));
+    let watch = tokio::spawn(watch_clock(lateness.clone()));
+    let mut rng = Rng::seed_from_u64(script.seed);
+    let Stage { dests, endpoints, discovery, lines } = stage(&script.dests, &mut rng, &ledger).await?;
     let config = script.config(free_address()?, discovery.addr, &lines);
     let mut env = Vec::new();
-    env.extend(bug.map(|bug| ("YARROWHILL_BUG".to_owned(), bug.to_owned())));
     env.extend(script.die.as_ref().map(|(point, n)| ("YARROWHILL_DIE".to_owned(), format!("{point}:{n}"))));
     let setup = Setup { program: program.into(), folder: folder.into(), env, file_most: script.file_most };
     let process = Process::start(setup, &config, &ledger).await?;
@@ -238,28 +251,32 @@
     let mut at = 0.0;
     for n in 0u64.. {
         // At random, now and then in a clump.
-        at += if rng.chance(0.3) { 0.0 } else { -rng.part().max(1e-9).ln() / 0.7 * 1000.0 / script.rate };
+        at += if rng.random_bool(0.3) {
+            0.0
+        } else {
+            -rng.random::<f64>().max(1e-9).ln() / 0.7 * 1000.0 / script.rate
+        };
         if at > script.traffic() {
             break;
         }
         sleep_until(start + ms(at)).await;
         let (class, deadline_ms) = Script::class(&mut rng);
         // The first destination gets the most.
-        let place = if rng.chance(0.4) { 0 } else { rng.below(dests.len() as u64) as usize };
+        let place = if rng.random_bool(0.4) { 0 } else { rng.random_range(0..dests.len()) };
         let message = Message {
             id: format!("{:x}-{n}", script.seed),
             class: class.to_owned(),
             dest: script.dests[place].number,
             owner: "acme".to_owned(),
             deadline_ms,
-            body: rng.below(600) as usize,
+            body: rng.random_range(0..600),
         };
         let [leaves, half, twice] = script.clients;
         let patience = Patience {
-            wait_ms: if rng.chance(leaves) { 1 + rng.below(10) } else { 400 },
-            half: rng.chance(half),
+            wait_ms: if rng.random_bool(leaves) { rng.random_range(1..=10) } else { 400 },
+            half: rng.random_bool(half),
         };
-        let twice = rng.chance(twice);
+        let twice = rng.random_bool(twice);
         let (dest, ledger) = (dests[place].clone(), ledger.clone());
         clients.spawn(async move { client(to, message, patience, twice, &dest, &ledger).await });
     }
@@ -312,7 +329,7 @@
 }
 
 /// Notes how much later than it asked for a task is woken.
-async fn watch_clock(most: Arc<AtomicU64>) {
+pub(crate) async fn watch_clock(most: Arc<AtomicU64>) {
     let step = Duration::from_millis(10);
     let mut worst: f64 = 0.0;
     loop {
@@ -324,7 +341,7 @@
     }
 }
 
-fn ms(span: f64) -> Duration {
+pub(crate) fn ms(span: f64) -> Duration {
     Duration::from_secs_f64(span.max(0.0) / 1000.0)
 }
 
@@ -333,7 +350,8 @@
 }
 
 /// A folder for a run.
-pub(crate) fn folder(seed: u64, bug: Option<&str>, tries: usize) -> PathBuf {
-    let name = format!("yarrowhill-rig-{}-{seed}-{}-{tries}", std::process::id(), bug.unwrap_or("none"));
-    std::env::temp_dir().join(name)
+pub(crate) fn folder(name: &str) -> PathBuf {
+    static MADE: AtomicU64 = AtomicU64::new(0);
+    let made = MADE.fetch_add(1, Ordering::Relaxed);
+    std::env::temp_dir().join(format!("yarrowhill-rig-{}-{made}-{name}", std::process::id()))
 }
--- /dev/null
+++ b/crates/rig/src/scratch.rs
@@ -0,0 +1,172 @@
+//! Builds the program with a bug planted: a scratch copy of the workspace, a patch, a build of its own.
+
+use crate::bugs::Bug;
+use std::collections::BTreeMap;
+use std::fs::{self, File};
+use std::io;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
+
+/// Why a bug can't be planted.
+#[derive(Debug, thiserror::Error)]
+pub enum ScratchError {
+    /// A file of the copy can't be had.
+    #[error("{0}: {1}")]
+    Io(PathBuf, #[source] io::Error),
+    /// The patch is no patch.
+    #[error("{0}: its patch can't be read: {1}")]
+    Patch(&'static str, String),
+    /// The patch does not fit the text that it is for.
+    #[error("{bug}: its patch does not fit {file}: {why}")]
+    Fit {
+        /// The bug.
+        bug: &'static str,
+        /// The file.
+        file: String,
+        /// What does not fit.
+        why: String,
+    },
+    /// It does not build.
+    #[error("{0}: it does not build")]
+    Build(&'static str),
+}
+
+fn at(path: &Path) -> impl FnOnce(io::Error) -> ScratchError + '_ {
+    |e| ScratchError::Io(path.into(), e)
+}
+
+/// The workspace's root.
+fn root() -> PathBuf {
+    let here = Path::new(env!("CARGO_MANIFEST_DIR"));
+    here.ancestors().nth(2).unwrap_or(here).to_path_buf()
+}
+
+/// The files that a bug's patch changes, with their text after it. Nothing is written.
+///
+/// # Errors
+///
+/// The patch does not fit.
+pub fn patched(bug: Bug) -> Result<BTreeMap<PathBuf, String>, ScratchError> {
+    let mut texts = BTreeMap::new();
+    for part in bug.patch().split_inclusive('\n').fold(Vec::<String>::new(), by_file) {
+        let unread = |why: String| ScratchError::Patch(bug.name(), why);
+        let patch = diffy::Patch::from_str(&part).map_err(|e| unread(e.to_string()))?;
+        let name = patch.original().ok_or_else(|| unread("it names no file".into()))?;
+        let name = name.strip_prefix("a/").unwrap_or(name).to_owned();
+        let path = root().join(&name);
+        let text = fs::read_to_string(&path).map_err(at(&path))?;
+        let fitted = diffy::apply(&text, &patch);
+        let text = fitted.map_err(|e| ScratchError::Fit {
+            bug: bug.name(),
+            file: name.clone(),
+            why: e.to_string(),
+        })?;
+        texts.insert(PathBuf::from(name), text);
+    }
+    Ok(texts)
+}
+
+/// A diff of several files, cut where the next one begins.
+fn by_file(mut parts: Vec<String>, line: &str) -> Vec<String> {
+    if line.starts_with("--- ") || parts.is_empty() {
+        parts.push(String::new());
+    }
+    if let Some(part) = parts.last_mut() {
+        part.push_str(line);
+    }
+    parts
+}
+
+/// The scratch copy, held by one process at a time. Between two bugs only what differs is written, so that only that
+/// is built anew.
+#[derive(Debug)]
+pub struct Scratch {
+    folder: PathBuf,
+    _lock: File,
+}
+
+impl Scratch {
+    /// Takes it, once whoever holds it has done.
+    ///
+    /// # Errors
+    ///
+    /// The folder can't be made.
+    pub fn open() -> Result<Self, ScratchError> {
+        let folder = root().join("target/bugs");
+        fs::create_dir_all(folder.join("bin")).map_err(at(&folder))?;
+        let path = folder.join("lock");
+        let lock = File::create(&path).map_err(at(&path))?;
+        lock.lock().map_err(at(&path))?;
+        Ok(Scratch { folder, _lock: lock })
+    }
+
+    /// The program with a bug planted.
+    ///
+    /// # Errors
+    ///
+    /// The patch does not fit, or what comes of it does not build.
+    pub fn build(&self, bug: Bug) -> Result<PathBuf, ScratchError> {
+        let mut patched = patched(bug)?;
+        let mut wanted = Vec::new();
+        for name in ["Cargo.toml", "Cargo.lock", "crates"] {
+            files(&root(), Path::new(name), &mut wanted)?;
+        }
+        let tree = self.folder.join("tree");
+        for name in &wanted {
+            let (from, to) = (root().join(name), tree.join(name));
+            let text = match patched.remove(name) {
+                Some(text) => text.into_bytes(),
+                None => fs::read(&from).map_err(at(&from))?,
+            };
+            if fs::read(&to).is_ok_and(|old| old == text) {
+                continue;
+            }
+            to.parent().map_or(Ok(()), fs::create_dir_all).map_err(at(&to))?;
+            fs::write(&to, text).map_err(at(&to))?;
+        }
+        let mut there = Vec::new();
+        files(&tree, Path::new("crates"), &mut there)?;
+        for name in there.iter().filter(|name| !wanted.contains(name)) {
+            let path = tree.join(name);
+            fs::remove_file(&path).map_err(at(&path))?;
+        }
+        let target = self.folder.join("build");
+        let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
+        let built = Command::new(cargo)
+            .args([
+                "build",
+                "--quiet",
+                "--locked",
+                "--offline",
+                "-p",
+                "yarrowhill-rig",
+                "--bin",
+                "yarrowhill-faulty",
+            ])
+            .env("CARGO_TARGET_DIR", &target)
+            .current_dir(&tree)
+            .stdin(Stdio::null())
+            .status()
+            .map_err(at(&tree))?;
+        if !built.success() {
+            return Err(ScratchError::Build(bug.name()));
+        }
+        let (from, to) = (target.join("debug/yarrowhill-faulty"), self.folder.join("bin").join(bug.name()));
+        fs::copy(&from, &to).map_err(at(&from))?;
+        Ok(to)
+    }
+}
+
+/// All files at a place under a folder, by their paths from it.
+fn files(folder: &Path, name: &Path, found: &mut Vec<PathBuf>) -> Result<(), ScratchError> {
+    let path = folder.join(name);
+    if !path.is_dir() {
+        found.push(name.to_path_buf());
+        return Ok(());
+    }
+    for entry in fs::read_dir(&path).map_err(at(&path))? {
+        let entry = entry.map_err(at(&path))?;
+        files(folder, &name.join(entry.file_name()), found)?;
+    }
+    Ok(())
+}
--- a/crates/rig/src/script.rs
+++ b/crates/rig/src/script.rs
@@ -1,11 +1,12 @@
 //! What a seed stands for.
 
+use rand::{RngExt, SeedableRng};
 use serde::Serialize;
 use serde_json::Value;
 use std::net::SocketAddr;
 use yarrowhill_checker::{Effect, Terms};
-use yarrowhill_faults::{Bug, Point};
-use yarrowhill_standins::{Class, Faults, Figures, Line, Rng, configuration};
+use yarrowhill_faults::Point;
+use yarrowhill_standins::{Class, Faults, Figures, Line, Rng, Room, configuration};
 
 const CLASSES: [Class; 2] = [
     Class { name: "auth-notice", idempotency: "token", deadline_ms: 2500 },
@@ -93,19 +94,19 @@
 impl Script {
     /// Draws it.
     pub fn draw(seed: u64) -> Self {
-        let mut rng = Rng::new(seed ^ 0x5eed);
-        let dests: Vec<Dest> = (0..3 + rng.below(3))
+        let mut rng = Rng::seed_from_u64(seed ^ 0x5eed);
+        let dests: Vec<Dest> = (0..3 + rng.random_range(0..3u64))
             .map(|n| {
-                let batches = n == 0 || rng.chance(0.4);
+                let batches = n == 0 || rng.random_bool(0.4);
                 let some = |rng: &mut Rng, share: f64, most: f64| {
-                    if rng.chance(share) { rng.between(0.01, most) } else { 0.0 }
+                    if rng.random_bool(share) { rng.random_range(0.01..most) } else { 0.0 }
                 };
                 Dest {
                     number: 10 + n,
                     batches,
-                    endpoints: 1 + rng.below(3) as usize,
-                    pace: rng.between(10.0, 120.0),
-                    limit: rng.between(12.0, 60.0),
+                    endpoints: 1 + rng.random_range(0..3usize),
+                    pace: rng.random_range(10.0..120.0),
+                    limit: rng.random_range(12.0..60.0),
                     faults: Faults {
                         error: some(&mut rng, 0.3, 0.1),
                         spoilt: some(&mut rng, 0.4, 0.2),
@@ -113,116 +114,65 @@
                         late: some(&mut rng, 0.4, 0.15),
                         reset: some(&mut rng, 0.3, 0.1),
                         copy: some(&mut rng, 0.3, 0.2),
+                        copy_after: some(&mut rng, 0.5, 300.0),
                         mixed: some(&mut rng, 0.5, 0.4),
                         last_moment: some(&mut rng, 0.2, 0.1),
                     },
                 }
             })
             .collect();
-        let mut acts = Vec::new();
+        let mut acts: Vec<(f64, Act)> = Vec::new();
         let mut damage = None;
         let mut die = None;
-        match rng.below(10) {
+        match rng.random_range(0..10u32) {
             0..3 => {
-                acts.push((rng.between(500.0, 2500.0), Act::Kill(rng.between(100.0, 600.0))));
-                if rng.chance(0.4) {
-                    acts.push((rng.between(2600.0, 4000.0), Act::Kill(100.0)));
+                acts.push((rng.random_range(500.0..2500.0), Act::Kill(rng.random_range(100.0..600.0))));
+                if rng.random_bool(0.4) {
+                    acts.push((rng.random_range(2600.0..4000.0), Act::Kill(100.0)));
                 }
-                damage = rng.chance(0.15).then(|| rng.part());
+                damage = rng.random_bool(0.15).then(|| rng.random::<f64>());
             }
-            3 => acts.push((rng.between(500.0, 2000.0), Act::Terminate)),
+            3 => acts.push((rng.random_range(500.0..2000.0), Act::Terminate)),
             4..7 => {
-                let point = Point::ALL[rng.below(Point::ALL.len() as u64) as usize];
-                let nth = if point == Point::BeforeRename { 1 } else { 20 + rng.below(120) };
+                let point = Point::ALL[rng.random_range(0..Point::ALL.len())];
+                let nth = if point == Point::BeforeRename { 1 } else { 20 + rng.random_range(0..120u64) };
                 die = Some((point.name().to_owned(), nth));
             }
             _ => {}
         }
-        if rng.chance(0.5) {
-            let dest = rng.below(dests.len() as u64) as usize;
-            let (shut, span) = (rng.chance(0.6), rng.between(500.0, 1200.0));
-            acts.push((rng.between(300.0, 1200.0), Act::Down { dest, shut, span }));
+        if rng.random_bool(0.5) {
+            let dest = rng.random_range(0..dests.len());
+            let (shut, span) = (rng.random_bool(0.6), rng.random_range(500.0..1200.0));
+            acts.push((rng.random_range(300.0..1200.0), Act::Down { dest, shut, span }));
         }
-        for _ in 0..rng.below(3) {
-            let dest = rng.below(dests.len() as u64) as usize;
-            let endpoint = rng.below(dests[dest].endpoints as u64) as usize;
-            let drains = rng.between(100.0, 2500.0);
-            acts.push((rng.between(300.0, 2000.0), Act::Replace { dest, endpoint, drains }));
+        for _ in 0..rng.random_range(0..3u32) {
+            let dest = rng.random_range(0..dests.len());
+            let endpoint = rng.random_range(0..dests[dest].endpoints);
+            let drains = rng.random_range(100.0..2500.0);
+            acts.push((rng.random_range(300.0..2000.0), Act::Replace { dest, endpoint, drains }));
         }
-        if rng.chance(0.25) {
-            acts.push((rng.between(300.0, 2500.0), Act::Reload));
-        } else if rng.chance(0.25) {
-            acts.push((rng.between(300.0, 2000.0), Act::Stale(rng.between(200.0, 1500.0))));
+        if rng.random_bool(0.25) {
+            acts.push((rng.random_range(300.0..2500.0), Act::Reload));
+        } else if rng.random_bool(0.25) {
+            acts.push((rng.random_range(300.0..2000.0), Act::Stale(rng.random_range(200.0..1500.0))));
         }
-        if rng.chance(0.4) {
-            acts.push((0.0, Act::DropNotices(2 + rng.below(3))));
+        if rng.random_bool(0.4) {
+            acts.push((0.0, Act::DropNotices(2 + rng.random_range(0..3))));
         }
         acts.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let full = die.is_none() && rng.chance(0.15);
+        let full = die.is_none() && rng.random_bool(0.15);
         Script {
             seed,
-            rate: rng.between(30.0, 90.0),
+            rate: rng.random_range(30.0..90.0),
             dests,
             acts,
-            clients: [rng.between(0.0, 0.05), rng.between(0.0, 0.03), rng.between(0.0, 0.08)],
+            clients: [rng.random_range(0.0..0.05), rng.random_range(0.0..0.03), rng.random_range(0.0..0.08)],
             die,
-            file_most: full.then(|| 512 * (20 + rng.below(60))),
+            file_most: full.then(|| 512 * (20 + rng.random_range(0..60u64))),
             damage,
         }
     }
 
-    /// The script made for a bug: a calm world in which that alone goes wrong which the bug gets wrong, placed where
-    /// it must show. The seed varies traffic and timing.
-    pub fn directed(bug: Bug, seed: u64) -> Self {
-        let dest = |number, batches, limit, faults| Dest {
-            number,
-            batches,
-            endpoints: 2,
-            pace: 30.0,
-            limit,
-            faults,
-        };
-        let calm = |faults: Faults| vec![dest(10, true, 60.0, faults.clone()), dest(11, false, 60.0, faults)];
-        let none = Faults::default();
-        let down = |at, shut, span| (at, Act::Down { dest: 0, shut, span });
-        let (dests, acts) = match bug {
-            Bug::BelieveLate => (calm(Faults { last_moment: 0.2, late: 0.1, ..none }), vec![]),
-            Bug::BelieveCopy => (calm(Faults { copy: 0.2, spoilt: 0.2, reset: 0.1, ..none }), vec![]),
-            Bug::SendBeforeJournal => {
-                (calm(none), vec![(900.0, Act::Kill(100.0)), (1900.0, Act::Kill(100.0))])
-            }
-            // Calls that never answer are out when the process ends.
-            Bug::ForgetAttempt => (calm(Faults { silent: 0.3, ..none }), vec![(1500.0, Act::Kill(100.0))]),
-            // A shut door tells how long it stays shut.
-            Bug::IgnoreWait => {
-                let other = (1700.0, Act::Down { dest: 1, shut: true, span: 1200.0 });
-                (calm(none), vec![down(400.0, true, 1200.0), other])
-            }
-            Bug::ResetNeverRan => (calm(Faults { reset: 0.3, ..none }), vec![]),
-            Bug::SpoiltNeverRan => (calm(Faults { spoilt: 0.3, ..none }), vec![]),
-            Bug::NoticeOnce => (calm(Faults { error: 0.3, ..none }), vec![(0.0, Act::DropNotices(2))]),
-            Bug::CallDraining => {
-                let replace = |at, dest| (at, Act::Replace { dest, endpoint: 0, drains: 2500.0 });
-                (calm(none), vec![replace(300.0, 0), replace(300.0, 1)])
-            }
-            Bug::TakeTwice | Bug::LoseRecord => (calm(none), vec![(1500.0, Act::Kill(100.0))]),
-            // No notice is acknowledged before the process ends.
-            Bug::ForgetOwed => {
-                let acts = vec![(0.0, Act::DropNotices(1)), (2500.0, Act::Kill(400.0))];
-                (calm(Faults { error: 0.3, ..none }), acts)
-            }
-            Bug::DeferredDelivered => (calm(Faults { mixed: 0.5, ..none }), vec![]),
-            Bug::HandBack => (calm(Faults { error: 0.3, reset: 0.1, ..none }), vec![]),
-            Bug::HideFailures => {
-                let faults = none;
-                let dests = vec![dest(10, false, 40.0, faults.clone()), dest(11, false, 40.0, faults)];
-                (dests, vec![down(600.0, true, 1000.0)])
-            }
-        };
-        let clients = if bug == Bug::TakeTwice { [0.0, 0.0, 0.5] } else { [0.0; 3] };
-        Script { seed, rate: 80.0, dests, acts, clients, die: None, file_most: None, damage: None }
-    }
-
     /// When clients stop (ms).
     pub fn traffic(&self) -> f64 {
         TRAFFIC
@@ -238,10 +188,10 @@
 
     /// A message's class by name and how long it may be delivered, drawn.
     pub fn class(rng: &mut Rng) -> (&'static str, u64) {
-        let class = CLASSES[usize::from(rng.chance(0.5))];
+        let class = CLASSES[usize::from(rng.random_bool(0.5))];
         // Some have been about for a while.
         let half = class.deadline_ms / 2;
-        let left = if rng.chance(0.15) { half + rng.below(half) } else { class.deadline_ms };
+        let left = if rng.random_bool(0.15) { half + rng.random_range(0..half) } else { class.deadline_ms };
         (class.name, left)
     }
 
@@ -254,6 +204,7 @@
             slots: 24,
             fail_back: [FALL_MULTIPLE, FALL_FOR, START_CAPACITY, WARM],
             seed: self.seed,
+            room: Room::default(),
         };
         configuration(&figures, listen, discovery, lines)
     }
--- a/crates/rig/src/sweep.rs
+++ b/crates/rig/src/sweep.rs
@@ -1,5 +1,7 @@
-//! Many seeds beside each other.
+//! Many seeds beside each other, and what is made for a bug.
 
+use crate::bugs::{Bug, Scene};
+use crate::load::play_load;
 use crate::play::{LATE_MOST, Played, folder, play};
 use crate::script::Script;
 use std::io;
@@ -7,7 +9,6 @@
 use std::sync::Arc;
 use tokio::sync::Semaphore;
 use tokio::task::JoinSet;
-use yarrowhill_faults::Bug;
 
 /// A run that was late judges nobody and is played again, so often.
 const TRIES: usize = 3;
@@ -21,38 +22,28 @@
     pub seeds: Vec<u64>,
     /// Runs at once.
     pub jobs: usize,
-    /// A planted bug.
-    pub bug: Option<&'a str>,
-    /// Plays the scripts made for the bug, in place of those that the seeds draw.
-    pub directed: bool,
+    /// Plays what is made for a bug, in place of the scripts that the seeds draw.
+    pub bug: Option<Bug>,
     /// Stop at the first run that is not clean.
     pub first: bool,
 }
 
-/// Plays the seeds and tells of each run as it ends.
+/// Plays the seeds and tells of each run as it ends. Gives those that were not clean.
 ///
 /// # Errors
 ///
 /// A run could not be played.
 pub async fn sweep(sweep: Sweep<'_>, mut told: impl FnMut(u64, &Played)) -> io::Result<Vec<(u64, Played)>> {
-    let room = Arc::new(Semaphore::new(sweep.jobs));
+    let room = Arc::new(Semaphore::new(sweep.jobs.max(1)));
     let mut runs = JoinSet::new();
     for seed in sweep.seeds {
         let (room, program) = (room.clone(), sweep.program.to_owned());
-        let bug = sweep.bug.map(str::to_owned);
+        let bug = sweep.bug;
         runs.spawn(async move {
             let _room = room.acquire_owned().await.map_err(io::Error::other)?;
-            let made = bug.as_deref().filter(|_| sweep.directed).and_then(Bug::named);
-            let script = made.map_or_else(|| Script::draw(seed), |bug| Script::directed(bug, seed));
-            for tries in 0.. {
-                let folder = folder(seed, bug.as_deref(), tries);
-                let played = play(&script, &program, bug.as_deref(), &folder).await?;
-                let kept = std::env::var_os("YARROWHILL_RIG_KEEP").is_some() && !played.is_clean();
-                if !kept {
-                    // Nothing depends on what is left there.
-                    let _ = std::fs::remove_dir_all(&folder);
-                }
-                if played.lateness <= LATE_MOST || tries + 1 == TRIES {
+            for tries in 1.. {
+                let played = one(seed, bug, &program).await?;
+                if played.lateness <= LATE_MOST || tries == TRIES {
                     return Ok::<_, io::Error>((seed, played));
                 }
             }
@@ -74,3 +65,17 @@
     unclean.sort_by_key(|(seed, _)| *seed);
     Ok(unclean)
 }
+
+async fn one(seed: u64, bug: Option<Bug>, program: &Path) -> io::Result<Played> {
+    let folder = folder(&format!("{seed}-{}", bug.map_or("none", Bug::name)));
+    let played = match bug.map(|bug| bug.scene(seed)) {
+        None => play(&Script::draw(seed), program, &folder).await?,
+        Some(Scene::Script(script)) => play(&script, program, &folder).await?,
+        Some(Scene::Load(load)) => play_load(&load, program, &folder).await?.into(),
+    };
+    if played.is_clean() || std::env::var_os("YARROWHILL_RIG_KEEP").is_none() {
+        // Nothing depends on what is left there.
+        let _ = std::fs::remove_dir_all(&folder);
+    }
+    Ok(played)
+}
--- a/crates/standins/src/client.rs
+++ b/crates/standins/src/client.rs
@@ -1,7 +1,7 @@
 //! Clients: each hands in one message, waits, and may leave.
 
 use crate::ledger::Ledger;
-use crate::wire::Wire;
+use crate::wire::{Read, Wire};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -41,41 +41,84 @@
     }
 }
 
-/// Hands a message in on a connection of its own. Gives the status, and the wait that it was told (ms).
+/// Hands a message in on a connection of its own. Gives what it heard, and the wait that it was told (ms).
 pub async fn hand_in(
     to: SocketAddr,
     message: &Message,
     patience: Patience,
     ledger: &Ledger,
 ) -> (Heard, Option<f64>) {
+    Session::new(to, ledger).hand_in(message, patience).await
+}
+
+/// A client that keeps its connection, one request at a time.
+#[derive(Debug)]
+pub struct Session {
+    to: SocketAddr,
+    wire: Option<Wire>,
+    ledger: Ledger,
+}
+
+impl Session {
+    /// Connects with its first message.
+    pub fn new(to: SocketAddr, ledger: &Ledger) -> Self {
+        Session { to, wire: None, ledger: ledger.clone() }
+    }
+
+    /// Hands a message in. Gives what it heard, and the wait that it was told (ms).
+    pub async fn hand_in(&mut self, message: &Message, patience: Patience) -> (Heard, Option<f64>) {
+        let request = request(message);
+        let Message { id, class, dest, deadline_ms, .. } = message;
+        // Its time counts from here, whether or not anybody listens.
+        self.ledger.write(Event::sent(id, class, *dest, *deadline_ms as f64));
+        let wait = Duration::from_millis(patience.wait_ms);
+        let answer = timeout(wait, self.exchange(&request, patience.half)).await;
+        let (heard, wait) = match answer {
+            Err(_) => (Heard::Left, None),
+            Ok(None) if patience.half => (Heard::Left, None),
+            Ok(None) => (Heard::Broken, None),
+            Ok(Some(answer)) => {
+                let wait = answer.header("retry-after").and_then(|w| w.parse::<f64>().ok());
+                (answer.status().map_or(Heard::Broken, Heard::Status), wait.map(|s| s * 1000.0))
+            }
+        };
+        self.ledger.write(Event::Heard { id: id.clone(), answer: heard });
+        (heard, wait)
+    }
+
+    async fn exchange(&mut self, request: &[u8], half: bool) -> Option<Read> {
+        // Out of the session while it is in use: one that breaks, or that is left, is not used again.
+        if let Some(mut kept) = self.wire.take()
+            && !half
+            && kept.write(request).await.is_ok()
+            && let Ok(answer) = kept.read().await
+        {
+            return Some(self.keep(kept, answer));
+        }
+        // Closed between two requests, with this one not read: it goes once more on a new connection.
+        let mut wire = Wire::new(TcpStream::connect(self.to).await.ok()?);
+        if half {
+            wire.write(&request[..request.len() / 2]).await.ok()?;
+            return None;
+        }
+        wire.write(request).await.ok()?;
+        let answer = wire.read().await.ok()?;
+        Some(self.keep(wire, answer))
+    }
+
+    fn keep(&mut self, wire: Wire, answer: Read) -> Read {
+        let closes = answer.header("connection").is_some_and(|c| c.eq_ignore_ascii_case("close"));
+        self.wire = Some(wire).filter(|_| !closes);
+        answer
+    }
+}
+
+fn request(message: &Message) -> Vec<u8> {
     let Message { id, class, dest, owner, deadline_ms, body } = message;
     let request = format!(
         "POST /{class} HTTP/1.1\r\nHost: api.internal\r\nReq-Id: {id}\r\nReq-Owner: {owner}\r\n\
          Req-Deadline-Ms: {deadline_ms}\r\nIdempotency-Key: key-{id}\r\nEnvelope: dest={dest}\r\n\
          Content-Length: {body}\r\n\r\n"
     );
-    let request = [request.as_bytes(), &vec![b'm'; *body]].concat();
-    // Its time counts from here, whether or not anybody listens.
-    ledger.write(Event::sent(id, class, *dest, *deadline_ms as f64));
-    let exchange = async {
-        let mut wire = Wire::new(TcpStream::connect(to).await.ok()?);
-        if patience.half {
-            wire.write(&request[..request.len() / 2]).await.ok()?;
-            return None;
-        }
-        wire.write(&request).await.ok()?;
-        wire.read().await.ok()
-    };
-    let answer = timeout(Duration::from_millis(patience.wait_ms), exchange).await;
-    let (heard, wait) = match answer {
-        Err(_) => (Heard::Left, None),
-        Ok(None) if patience.half => (Heard::Left, None),
-        Ok(None) => (Heard::Broken, None),
-        Ok(Some(answer)) => {
-            let wait = answer.header("retry-after").and_then(|w| w.parse::<f64>().ok());
-            (answer.status().map_or(Heard::Broken, Heard::Status), wait.map(|s| s * 1000.0))
-        }
-    };
-    ledger.write(Event::Heard { id: id.clone(), answer: heard });
-    (heard, wait)
+    [request.as_bytes(), &vec![b'm'; *body]].concat()
 }
--- a/crates/standins/src/config.rs
+++ b/crates/standins/src/config.rs
@@ -32,6 +32,26 @@
     pub fail_back: [f64; 4],
     /// The seed of the forwarder's own chance.
     pub seed: u64,
+    /// What it may take.
+    pub room: Room,
+}
+
+/// What a forwarder may take.
+#[derive(Clone, Copy, Debug)]
+pub struct Room {
+    /// Descriptors.
+    pub sockets: usize,
+    /// Its disk (MB).
+    pub disk_mb: f64,
+    /// Messages that it may hold.
+    pub open_cap: usize,
+}
+
+impl Default for Room {
+    /// The least that the platform gives.
+    fn default() -> Self {
+        Room { sockets: 256, disk_mb: 3.0, open_cap: 300 }
+    }
 }
 
 /// The configuration of a forwarder that listens at `listen`. Kinds are `plain` and `several` (20 in a call),
@@ -41,11 +61,12 @@
         json!({"name": c.name, "idempotency": c.idempotency, "dedupScope": "all", "keyTtl": figures.key_life_ms,
                "goalTime": figures.aim_ms, "deadline": c.deadline_ms as f64, "worth": 1.0, "lateShare": 0.4})
     };
+    let Room { sockets, disk_mb, open_cap } = figures.room;
     let [multiple, fall_for, start_capacity, warm_after] = figures.fail_back;
     json!({
         "name": "n0", "listen": listen.to_string(), "discovery": discovery.to_string(),
         "seed": format!("{:x}", figures.seed.max(1)),
-        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256, "disk_mb": 3.0},
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": sockets, "disk_mb": disk_mb},
         "known": {"rev": 1, "all": true, "targets": lines},
         "settings": {
             "classes": figures.classes.iter().map(class).collect::<Vec<_>>(),
@@ -53,7 +74,7 @@
             "realms": [{"name": "acme", "quotaRps": 100_000.0}],
             "report": {"fields": ["x0", "x1"]}, "round": 5.0, "weights": "rough",
             "familyInfo": {"batchByKind": [1, 20], "kindApart": [false, false], "slots": figures.slots},
-            "limits": {"maxAttempts": 6, "openCap": 300, "connectTimeout": 250.0, "idleClose": 2000.0,
+            "limits": {"maxAttempts": 6, "openCap": open_cap, "connectTimeout": 250.0, "idleClose": 2000.0,
                        "retryAfter": true, "maxRetryAfter": 1000.0, "cancel": true},
             "guarantees": {"fallMultiple": multiple, "overloadFor": fall_for, "startCapacity": start_capacity,
                            "warmAfter": warm_after, "stopSendingWithin": 2000.0}
--- a/crates/standins/src/endpoint.rs
+++ b/crates/standins/src/endpoint.rs
@@ -3,6 +3,7 @@
 use crate::ledger::Ledger;
 use crate::rng::Rng;
 use crate::wire::{Read, Wire, answer};
+use rand::RngExt;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use std::io;
@@ -67,6 +68,8 @@
     pub reset: f64,
     /// A good answer, and the same again right behind.
     pub copy: f64,
+    /// Such a copy comes after up to so long (ms), unless another call has begun by then.
+    pub copy_after: f64,
     /// Of a batch, some items are turned away, faulty or over.
     pub mixed: f64,
     /// Answered in the last moments before the time of the first message is up.
@@ -192,10 +195,10 @@
         if self.allowance < 1.0 {
             let wait = (1.0 - self.allowance) / (self.limit * warm) * 1000.0 + 50.0;
             let tells = self.tells;
-            return Fate::Refuse(self.rng.chance(tells).then_some(wait));
+            return Fate::Refuse(self.rng.random_bool(tells).then_some(wait));
         }
         self.allowance -= 1.0;
-        let mut drawn = self.rng.part();
+        let mut drawn = self.rng.random::<f64>();
         let mut falls = |share: f64| {
             drawn -= share;
             drawn < 0.0
@@ -204,7 +207,7 @@
         if falls(f.error) {
             Fate::Error
         } else if falls(f.spoilt) {
-            Fate::Spoil(Spoilt::ALL[self.rng.below(Spoilt::ALL.len() as u64) as usize])
+            Fate::Spoil(Spoilt::ALL[self.rng.random_range(0..Spoilt::ALL.len())])
         } else if falls(f.silent) {
             Fate::Silent
         } else if falls(f.late) {
@@ -303,7 +306,20 @@
     }
 }
 
+/// A call that begins so soon after a copy (ms) may have crossed it.
+const CROSSES: f64 = 5.0;
+
+/// What becomes of a connection.
+enum Next {
+    /// It carries another call.
+    Call,
+    /// The same, and the last answer has just been sent once more.
+    CopySent,
+    Reset,
+}
+
 async fn serve(mut wire: Wire, uid: &str, dest: &Destination) -> io::Result<()> {
+    let mut copied: Option<f64> = None;
     loop {
         if !wire.begins().await? {
             return Ok(());
@@ -319,9 +335,17 @@
             ids: ids.clone(),
         });
         let call = Call { number, ids, batch, dest };
+        if copied.take().is_some_and(|at| dest.ledger.now() < at + CROSSES) {
+            // It may have been written before the copy came, and nothing tells the copy from its answer: so that is
+            // what the answer says.
+            call.answered(CallEnd::Delivered, None);
+            wire.write(&call.good()).await?;
+            continue;
+        }
         match answer_to(&mut wire, &call).await {
-            Ok(true) => {}
-            Ok(false) => {
+            Ok(Next::Call) => {}
+            Ok(Next::CopySent) => copied = Some(dest.ledger.now()),
+            Ok(Next::Reset) => {
                 wire.reset();
                 return Ok(());
             }
@@ -341,13 +365,13 @@
     (items.iter().filter_map(|item| item["id"].as_str()).map(str::to_owned).collect(), true)
 }
 
-/// Answers a call. False if its connection is to be reset.
-async fn answer_to(wire: &mut Wire, call: &Call<'_>) -> io::Result<bool> {
+/// Answers a call.
+async fn answer_to(wire: &mut Wire, call: &Call<'_>) -> io::Result<Next> {
     let dest = call.dest;
     let now = dest.ledger.now();
     let (fate, pace) = {
         let mut state = dest.lock();
-        let spread = state.rng.between(0.6, 1.6);
+        let spread = state.rng.random_range(0.6..1.6);
         (state.fate(now, call.batch), state.pace * spread)
     };
     if let Fate::Refuse(wait) = fate {
@@ -355,11 +379,11 @@
         let status = if wait.is_some() { 429 } else { 503 };
         wire.write(&answer(status, &headers, b"")).await?;
         call.answered(CallEnd::NeverRan, wait);
-        return Ok(true);
+        return Ok(Next::Call);
     }
     if !matches!(fate, Fate::Silent | Fate::Late | Fate::LastMoment) && !waited(wire, pace).await {
         call.broke();
-        return Ok(false);
+        return Ok(Next::Reset);
     }
     match fate {
         Fate::Refuse(_) => {}
@@ -373,12 +397,12 @@
         }
         Fate::Reset => {
             call.broke();
-            return Ok(false);
+            return Ok(Next::Reset);
         }
         Fate::Silent => {
             while !wire.closed().await {}
             call.broke();
-            return Ok(false);
+            return Ok(Next::Reset);
         }
         Fate::Late | Fate::LastMoment => {
             let up = call.up();
@@ -386,7 +410,7 @@
             let left = (at - dest.ledger.now()).clamp(0.0, 20_000.0);
             if !waited(wire, left).await {
                 call.broke();
-                return Ok(false);
+                return Ok(Next::Reset);
             }
             let good = call.good();
             wire.write(&good).await?;
@@ -394,9 +418,24 @@
         }
         Fate::Copy => {
             let good = call.good();
-            // In one piece: a copy that comes later may cross the next call, and nothing tells it from its answer.
-            wire.write(&[&good[..], &good].concat()).await?;
-            call.answered(CallEnd::Delivered, None);
+            let after = {
+                let mut state = dest.lock();
+                let most = state.faults.copy_after;
+                if most > 0.0 { state.rng.random_range(0.0..most) } else { 0.0 }
+            };
+            if after == 0.0 {
+                wire.write(&[&good[..], &good].concat()).await?;
+                call.answered(CallEnd::Delivered, None);
+            } else {
+                wire.write(&good).await?;
+                call.answered(CallEnd::Delivered, None);
+                // Where another call waits there is no copy: nothing would tell it from that call's answer.
+                let next = timeout(Duration::from_secs_f64(after / 1000.0), wire.begins()).await;
+                if next.is_err() {
+                    wire.write(&good).await?;
+                    return Ok(Next::CopySent);
+                }
+            }
         }
         Fate::Mixed => {
             let body = call.states(|n| ["accepted", "deferred", "fault", "expired"][n % 4]);
@@ -408,7 +447,7 @@
         }
         Fate::Spoil(how) => return spoil(wire, call, how).await,
     }
-    Ok(true)
+    Ok(Next::Call)
 }
 
 /// Works on a call. False if the other side closed meanwhile.
@@ -416,7 +455,7 @@
     timeout(Duration::from_secs_f64(ms / 1000.0), wire.closed()).await.is_err()
 }
 
-async fn spoil(wire: &mut Wire, call: &Call<'_>, how: Spoilt) -> io::Result<bool> {
+async fn spoil(wire: &mut Wire, call: &Call<'_>, how: Spoilt) -> io::Result<Next> {
     let good = call.good();
     // For one message a first line with 200 is true, whatever follows.
     let by_line = if call.batch { CallEnd::MayHaveRun } else { CallEnd::Delivered };
@@ -441,7 +480,7 @@
     wire.write(&bytes).await?;
     call.answered(end, None);
     match how {
-        Spoilt::Report | Spoilt::Interim => return Ok(true),
+        Spoilt::Report | Spoilt::Interim => return Ok(Next::Call),
         Spoilt::Huge => {
             // As long as anybody reads it, and no longer than a second.
             for _ in 0..100 {
@@ -453,5 +492,5 @@
     }
     // The connection stays open and is of no further use.
     while !wire.closed().await {}
-    Ok(false)
+    Ok(Next::Reset)
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -17,8 +17,8 @@
 mod rng;
 mod wire;
 
-pub use client::{Message, Patience, hand_in};
-pub use config::{Class, Figures, configuration, free_address};
+pub use client::{Message, Patience, Session, hand_in};
+pub use config::{Class, Figures, Room, configuration, free_address};
 pub use discovery::{Discovery, Line};
 pub use endpoint::{Destination, Endpoint, Faults, Spoilt};
 pub use ledger::Ledger;
--- a/crates/yarrowhill/src/demo.rs
+++ b/crates/yarrowhill/src/demo.rs
@@ -1,5 +1,6 @@
 //! `yarrowhill demo`: the forwarder as a process of its own between stand-ins on loopback, shown live.
 
+use rand::{RngExt, SeedableRng};
 use std::error::Error;
 use std::io::{IsTerminal, Write, stdout};
 use std::time::Duration;
@@ -8,7 +9,7 @@
 use yarrowhill_checker::{CallEnd, Effect, Entry, Event, Terms, accounts, judge};
 use yarrowhill_standins::{
     Class, Destination, Discovery, Endpoint, Faults, Figures, Ledger, Line, Message, Patience, Process, Rng,
-    Setup, configuration, free_address, hand_in,
+    Room, Setup, configuration, free_address, hand_in,
 };
 
 const CLASSES: [Class; 2] = [
@@ -67,11 +68,18 @@
 
 async fn play(traffic: f64, rate: f64, seed: u64) -> Result<(), Box<dyn Error>> {
     let ledger = Ledger::default();
-    let mut rng = Rng::new(seed);
+    let mut rng = Rng::seed_from_u64(seed);
     let partners = partners();
     let (mut dests, mut endpoints, mut lines) = (Vec::new(), Vec::new(), Vec::new());
     for (n, p) in partners.iter().enumerate() {
-        let dest = Destination::new(n as u64, p.pace, p.limit, p.faults.clone(), rng.fork(), ledger.clone());
+        let dest = Destination::new(
+            n as u64,
+            p.pace,
+            p.limit,
+            p.faults.clone(),
+            Rng::from_rng(&mut rng),
+            ledger.clone(),
+        );
         for e in 0..p.endpoints {
             let endpoint =
                 Endpoint::start(&format!("{}-{e}", p.name), ([127, 0, 0, 1], 0).into(), &dest).await?;
@@ -88,6 +96,7 @@
         slots: 24,
         fail_back: [2.0, 1000.0, 0.17, WARM],
         seed,
+        room: Room::default(),
     };
     let config = configuration(&figures, free_address()?, discovery.addr, &lines);
     let folder = std::env::temp_dir().join(format!("yarrowhill-demo-{}", std::process::id()));
@@ -144,14 +153,14 @@
     let start = Instant::now();
     let (mut at, mut tasks) = (0.0, JoinSet::new());
     for n in 0.. {
-        at += -rng.part().max(1e-9).ln() * 1000.0 / rate;
+        at += -rng.random::<f64>().max(1e-9).ln() * 1000.0 / rate;
         if at > traffic {
             break;
         }
         sleep_until(start + Duration::from_secs_f64(at / 1000.0)).await;
-        let class = CLASSES[usize::from(rng.chance(0.36))];
+        let class = CLASSES[usize::from(rng.random_bool(0.36))];
         // Orders go to issuers, notices to everybody.
-        let dest = rng.below(if class.idempotency == "token" { dests.len() as u64 } else { 2 });
+        let dest = rng.random_range(0..if class.idempotency == "token" { dests.len() as u64 } else { 2 });
         let mut message = Message {
             id: format!("m{n}"),
             class: class.name.to_owned(),
