Let the pace grow the faster the longer no refusal came, where no limit is told

Change: where nobody tells a limit, the part by which each delivery lets the pace grow is multiplied by the time since the last refusal over 2 s, from 1 to 4.

--- a/crates/policy/src/balancer/scope.rs
+++ b/crates/policy/src/balancer/scope.rs
@@ -26,6 +26,8 @@
 const RECOVER: f64 = 0.08;
 /// and where no limit is told by this part with each delivery at least.
 const RECOVER_CALL: f64 = 0.02;
+/// The longer ago the last refusal, the faster: N times this span (seconds), N times the part.
+const QUIET_S: f64 = 2.0;
 /// While it warms up, each delivery at its usual pace lets the rate grow by this factor, and a refusal cuts
 /// it to this part; by the settings' own figures the rate starts where nobody can be pushed over.
 const GROW: f64 = 1.4;
@@ -209,7 +211,8 @@
             let part = if self.is_told() || self.state != State::Open {
                 dt * RECOVER
             } else {
-                (dt * RECOVER).max(RECOVER_CALL)
+                let quiet = ((now - self.last_refusal) as f64 / SECOND / QUIET_S).clamp(1.0, 4.0);
+                (dt * RECOVER).max(RECOVER_CALL) * quiet
             };
             let grown = l + part * (l + e.least).max(self.own_part(e));
             self.limit = Some(self.ceiling.map_or(grown, |c| grown.min(c)));
--- a/crates/policy/tests/recovery.rs
+++ b/crates/policy/tests/recovery.rs
@@ -193,3 +193,19 @@
     let later = play(&mut rig, 2 * SEC, Outcome::Delivered);
     assert!(later >= 24, "{later} calls in 2 s, 100 before");
 }
+
+/// Seen on a day on which a destination was cut to 5 calls a second by a clump at its start and took 60 later: by even
+/// steps it crept for 20 s. The longer no refusal came, the faster the pace grows; soon after one it does not.
+#[test]
+fn the_pace_grows_the_faster_the_longer_no_refusal_came() {
+    let mut rig = untold(&[(10, 1)]);
+    serve(&mut rig, 0, 10, 200 * MS);
+    (100..120).for_each(|id| drop(rig.submit(id, 0, 1)));
+    (100..119).for_each(|id| drop(rig.ended(id, 0, Outcome::Delivered, 50 * MS)));
+    rig.ended(119, 0, FULL, 20 * MS);
+    (200..380).for_each(|id| drop(rig.submit(id, 0, 1)));
+    let mut there = Endpoints::default();
+    let mut span = || there.answer(&mut rig, 2 * SEC, Outcome::Delivered, 50 * MS);
+    let calls = [span(), span()];
+    assert!(calls[1] >= 2 * calls[0].max(1), "{calls:?}");
+}
