Keep the clients of the engine's measurement, and check what it delivers

Change: clients are kept for the turn, and a round whose messages are not all delivered, or that sheds what is to be held, gives no figure.

--- a/crates/bench/src/scale.rs
+++ b/crates/bench/src/scale.rs
@@ -15,7 +15,8 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 use yarrowhill_engine::{
-    AttemptEnd, Call, CallEnd, EndpointList, Engine, Input, Notice, Options, Submission, Transport, unix_now,
+    Answer, AttemptEnd, Call, CallEnd, EndpointList, Engine, Input, Notice, Options, Submission, Transport,
+    unix_now,
 };
 use yarrowhill_journal::{Durability, End, Journal, Record};
 use yarrowhill_policy::api::{EndpointId, Micros, Outcome};
@@ -58,6 +59,9 @@
     _notices: Receiver<Vec<Notice>>,
     _inputs: Receiver<Input>,
     named: u64,
+    /// Clients that wait for their answer.
+    clients: Vec<oneshot::Receiver<Answer>>,
+    delivered: usize,
 }
 
 impl World {
@@ -67,7 +71,7 @@
         let settings = json!({
             "classes": [class], "kinds": ["several"], "zones": ["a"], "zone": "a", "peersTotal": 1, "round": 1.0,
             "familyInfo": {"batchByKind": [BATCH], "kindApart": [false], "slots": 64},
-            "limits": {"maxAttempts": 6, "openCap": open + 1000},
+            "limits": {"maxAttempts": 6, "openCap": open + open / 8 + 1000},
             "guarantees": {"fallMultiple": 2.0, "warmAfter": 1000.0, "startCapacity": 0.5}
         });
         let (settings, names) = yarrowhill_settings::from_json(&settings)?;
@@ -90,11 +94,21 @@
             known,
         };
         let engine = Engine::start(options, calls.clone(), notices, inputs)?;
-        Ok(World { engine, calls, _notices: owed, _inputs: ends, named: 0 })
+        Ok(World {
+            engine,
+            calls,
+            _notices: owed,
+            _inputs: ends,
+            named: 0,
+            clients: Vec::new(),
+            delivered: 0,
+        })
     }
 
     fn message(&mut self, dest: u64) -> Input {
         self.named += 1;
+        let (answer, client) = oneshot::channel();
+        self.clients.push(client);
         Input::Submission(Submission {
             id: format!("{:016x}", self.named),
             class: 0,
@@ -103,14 +117,16 @@
             key: None,
             body: vec![b'm'; 200].into(),
             deadline: Instant::now() + HOUR,
-            answer: oneshot::channel().0,
+            answer,
         })
     }
 
     /// Ends every call that is out in this way.
     fn end(&mut self, outcome: Outcome) -> Vec<Input> {
         let done = outcome == Outcome::Delivered;
-        let end = |call: Call| {
+        let delivered = &mut self.delivered;
+        let mut end = |call: Call| {
+            *delivered += call.items.len() * usize::from(done);
             let ended = call.items.iter().map(|item| AttemptEnd {
                 id: item.id,
                 attempt: item.attempt,
@@ -121,7 +137,7 @@
             });
             Input::Call(CallEnd { endpoint: call.endpoint, ended: ended.collect() })
         };
-        self.calls.take().into_iter().map(end).collect()
+        self.calls.take().into_iter().map(&mut end).collect()
     }
 
     /// Messages that wait at shut destinations.
@@ -135,6 +151,7 @@
             self.engine.turn(kept, true);
             let ended = self.end(Outcome::Full { wait: Some(wait) });
             self.engine.turn(ended, true);
+            self.clients.clear();
             held += part;
         }
         while self.engine.in_flight() > 0 {
@@ -149,6 +166,7 @@
         for _ in 0..TURNS {
             let batch: Vec<Input> = (0..BATCH).map(|_| self.message(0)).collect();
             self.engine.turn(batch, true);
+            self.clients.clear();
             while self.engine.in_flight() > 0 {
                 let ended = self.end(Outcome::Delivered);
                 self.engine.turn(ended, true);
@@ -175,6 +193,11 @@
     let mut world = World::new(&folder, open)?;
     world.hold(open);
     let best = (0..ROUNDS).map(|_| world.round()).fold(f64::INFINITY, f64::min);
+    let (delivered, wanted) = (world.delivered, ROUNDS * TURNS * BATCH);
+    if delivered != wanted || world.engine.open_messages() != open {
+        let held = world.engine.open_messages();
+        return Err(format!("{delivered} of {wanted} delivered, {held} of {open} open: no figure").into());
+    }
     fs::remove_dir_all(&folder)?;
     Ok(best)
 }
