Run several engines side by side by destination, for machines with more cores

One engine is one task on one core.

Open messages are leased in portions, owners' shares told every 250 ms, slots and disk cut up. A start with another number of shards writes a whole new layout of journals and renames it into place. Feature 'shards': the platform's build is without it, and refuses a folder with layouts.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -7,9 +7,12 @@
 use crate::input::Input;
 use crate::list::EndpointList;
 use crate::message::{Answer, Notice, Submission};
+use crate::room::Room;
+use crate::shares::Shares;
 use crate::transport::Transport;
 use std::collections::HashMap;
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc::{Sender, channel};
 use tokio::sync::oneshot;
@@ -36,11 +39,13 @@
 const TELL_EVERY: Duration = Duration::from_secs(1);
 /// When a client is to come again whose message the journal has no room for now.
 const AGAIN: Duration = Duration::from_secs(1);
+/// Shards tell each other what came in this often (microseconds): owners' shares are exact but for what came since.
+const TELL_SHARES: Micros = 250_000;
 /// What may have run at no known time ran long ago (microseconds): no destination remembers its key.
 const LONG_AGO: Micros = 365 * 24 * 3600 * 1_000_000;
 
 /// What an engine is told at its start.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Options {
     /// The settings of the decision module.
     pub settings: Settings,
@@ -56,6 +61,21 @@
     pub durability: Durability,
     /// The list of endpoints as it was last known.
     pub known: EndpointList,
+    /// How many messages may be open.
+    pub room: Room,
+    /// This engine's number among several, and what they tell each other of the owners.
+    pub shares: Option<(usize, Arc<Shares>)>,
+}
+
+/// What one of several engines knows of the owners.
+struct Owners {
+    shard: usize,
+    shares: Arc<Shares>,
+    /// Their whole shares (messages a second).
+    quotas: Vec<f64>,
+    /// What came in since the others were last told.
+    counts: Vec<u64>,
+    told: Micros,
 }
 
 struct Message {
@@ -107,6 +127,8 @@
     journal: Journal,
     transport: T,
     messages: HashMap<MessageId, Message>,
+    room: Room,
+    owners: Option<Owners>,
     ids: HashMap<String, MessageId>,
     next_id: MessageId,
     endpoints: Endpoints,
@@ -139,7 +161,14 @@
     ) -> Result<Self, JournalError> {
         let journal = JournalOptions { limit: options.journal_limit, durability: options.durability };
         let (journal, recovered) = Journal::open(&options.state, journal, unix_now())?;
+        let quotas: Vec<f64> = options.settings.tenants.iter().map(|t| t.quota).collect();
+        let owners = options.shares.map(|(shard, shares)| {
+            let counts = vec![0; quotas.len()];
+            Owners { shard, shares, quotas, counts, told: Micros::MIN }
+        });
         let mut engine = Engine {
+            room: options.room,
+            owners,
             balancer: Balancer::new(options.settings.clone(), options.seed),
             settings: options.settings,
             names: options.names,
@@ -205,6 +234,7 @@
         for event in std::mem::take(&mut self.events) {
             self.balancer.on_event(now, event, &mut self.actions);
         }
+        self.tell_shares(now);
         let mut fresh = Vec::new();
         for input in batch {
             match input {
@@ -247,9 +277,23 @@
         }
         self.commit(now, fresh, sends);
         self.pass_on_notices();
+        self.room.settle(self.messages.len());
         self.transport.sweep();
     }
 
+    /// Tells the other engines what came in to this one, and the module which part of each share is its own now.
+    fn tell_shares(&mut self, now: Micros) {
+        let Some(owners) = self.owners.as_mut().filter(|o| now >= o.told.saturating_add(TELL_SHARES)) else {
+            return;
+        };
+        owners.told = now;
+        owners.shares.tell(owners.shard, &owners.counts);
+        owners.counts.fill(0);
+        let quotas = owners.quotas.iter().enumerate();
+        let quotas = quotas.map(|(owner, quota)| quota * owners.shares.part(owners.shard, owner)).collect();
+        self.balancer.on_event(now, Event::Quotas(quotas), &mut self.actions);
+    }
+
     fn list(&mut self, now: Micros, list: &EndpointList) {
         let event = self.endpoints.apply(now, list, &self.settings, &self.names, &mut self.transport);
         self.balancer.on_event(now, event, &mut self.actions);
@@ -276,7 +320,7 @@
             Some((End::Failed, _)) => Some(Answer::Failed),
             Some((End::Refused, _)) => Some(Answer::Refused(None)),
             None if self.ids.contains_key(&name) => Some(Answer::Accepted),
-            None if self.messages.len() >= self.settings.open_cap => Some(Answer::Refused(None)),
+            None if !self.room.admits(self.messages.len()) => Some(Answer::Refused(None)),
             None => None,
         };
         let class_name = self.names.classes.get(class).cloned();
@@ -286,6 +330,9 @@
             let _ = answer.send(known.unwrap_or(Answer::Refused(None)));
             return None;
         };
+        if let Some(count) = self.owners.as_mut().zip(tenant).and_then(|(o, t)| o.counts.get_mut(t)) {
+            *count += 1;
+        }
         let give_up_at = self.clock.micros(deadline);
         let left = u64::try_from((give_up_at - now) / 1000).unwrap_or(0);
         let accepted = Accepted {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -9,6 +9,7 @@
 //!
 //! - `message`, `call`, `list`: what goes in and out
 //! - `input`, `transport`: the two seams
+//! - `shards`, `room`, `shares`: several engines side by side, and what they lease from each other
 //! - `clock`, `endpoints`: parts of the engine
 //! - `engine`: the turn
 //! - `run`: turns on a tokio runtime, from the start to a clean end
@@ -20,7 +21,10 @@
 mod input;
 mod list;
 mod message;
+mod room;
 mod run;
+mod shards;
+mod shares;
 mod transport;
 
 pub use call::{AttemptEnd, Call, CallEnd, Item, Order};
@@ -29,6 +33,9 @@
 pub use input::Input;
 pub use list::{EndpointLine, EndpointList, State};
 pub use message::{Answer, Notice, Submission};
+pub use room::{Room, RoomPool};
 pub use run::{Phase, run};
+pub use shards::{Engines, fan_out, shard_list, shard_of, shard_settings};
+pub use shares::Shares;
 pub use transport::Transport;
 pub use yarrowhill_journal::{Durability, JournalError, NoticeEnd};
--- a/crates/http/src/intake.rs
+++ b/crates/http/src/intake.rs
@@ -17,11 +17,10 @@
 use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc::Sender;
 use tokio::sync::{Semaphore, oneshot, watch};
 use tokio::task::{AbortHandle, JoinSet, yield_now};
 use tokio::time::{sleep, timeout};
-use yarrowhill_engine::{Answer, Input, Phase, Submission};
+use yarrowhill_engine::{Answer, Engines, Input, Phase, Submission};
 use yarrowhill_policy::api::{Effect, Settings};
 use yarrowhill_settings::{Names, index};
 
@@ -50,7 +49,7 @@
 pub struct Intake {
     names: Names,
     settings: Settings,
-    engine: Sender<Input>,
+    engines: Engines,
     phase: watch::Receiver<Phase>,
     /// KiB that bodies may take until the engine has them.
     bodies: Semaphore,
@@ -221,11 +220,11 @@
     pub fn new(
         names: Names,
         settings: Settings,
-        engine: Sender<Input>,
+        engines: impl Into<Engines>,
         phase: watch::Receiver<Phase>,
         bodies: usize,
     ) -> Self {
-        Intake { names, settings, engine, phase, bodies: Semaphore::new(bodies) }
+        Intake { names, settings, engines: engines.into(), phase, bodies: Semaphore::new(bodies) }
     }
 
     async fn answer(&self, request: Request<Incoming>, ambiguous: bool) -> Reply {
@@ -276,7 +275,8 @@
             answer,
         };
         // A full queue means that the engine is far behind: another try does no harm.
-        if self.engine.try_send(Input::Submission(message)).is_err() {
+        let engine = self.engines.of(message.dest);
+        if engine.is_none_or(|engine| engine.try_send(Input::Submission(message)).is_err()) {
             return Ok(Answer::Refused(Some(AGAIN)));
         }
         Ok(answered.await.unwrap_or(Answer::Refused(None)))
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -9,6 +9,7 @@
 //! - `ends`: the ends of messages that are over, as long as they bind
 //! - `replay`: the messages put together again from their records
 //! - `store`: the file itself: appending, compacting, room
+//! - `segments`: one journal for each shard, and from one number of shards to another
 //!
 //! ```
 //! use yarrowhill_journal::{Accepted, Durability, Journal, Options, Record};
@@ -39,10 +40,12 @@
 mod frame;
 mod record;
 mod replay;
+mod segments;
 mod store;
 
 pub use record::{Accepted, End, Ends, NoticeEnd, Record};
 pub use replay::{Attempt, OpenMessage};
+pub use segments::segments;
 pub use store::{Damage, Durability, Journal, JournalError, Options, Recovered};
 
 /// Reads any bytes as a journal's text, as [`Journal::open`] does, and gives the number of records in it and of
--- a/crates/journal/src/store.rs
+++ b/crates/journal/src/store.rs
@@ -566,6 +566,75 @@
     }
 }
 
+/// What a journal hands on to others.
+pub(crate) struct Carried {
+    pub(crate) open: Vec<OpenMessage>,
+    pub(crate) orphans: Vec<(String, NoticeEnd)>,
+    /// Ends that bind, as they stand on disk, and the key of their hashes.
+    ends: Vec<u8>,
+    key: ends::Key,
+    /// Held until what it holds stands elsewhere.
+    _journal: Journal,
+}
+
+/// Takes out all that a journal holds.
+pub(crate) fn carry(folder: &Path, options: Options, now: u64) -> Result<Carried, JournalError> {
+    // Its own bound may be another: nothing is written to it here but what damage demands.
+    let (journal, recovered) = Journal::open(folder, options, now)?;
+    let ends = journal.ends.binding(now).flatten().collect();
+    let key = journal.ends.key();
+    Ok(Carried { open: recovered.open, orphans: recovered.orphans, ends, key, _journal: journal })
+}
+
+/// Makes a journal that holds these messages, and the ends of all that are handed on. Those have one key, except
+/// where a layout was made by hand.
+pub(crate) fn plant<'a>(
+    folder: &Path,
+    options: Options,
+    now: u64,
+    from: &[Carried],
+    open: &[&OpenMessage],
+    orphans: impl Iterator<Item = &'a (String, NoticeEnd)>,
+) -> Result<(), JournalError> {
+    fs::create_dir_all(folder)?;
+    let (mut journal, _) = Journal::open(folder, options, now)?;
+    if let Some(first) = from.first() {
+        journal.ends = Ends::new(first.key);
+    }
+    for carried in from {
+        if carried.key != journal.ends.key() {
+            return Err(io::Error::other("segments whose ends are hashed under different keys").into());
+        }
+        journal.ends.take_up(&carried.ends, now);
+    }
+    // First of all: the ends stand before whatever is hashed with their key.
+    journal.compact(now)?;
+    for message in open {
+        let id = &message.accepted.id;
+        let mut records = vec![Record::Accepted(message.accepted.clone())];
+        for (n, attempt) in message.attempts.iter().enumerate() {
+            records.push(Record::Sent(id.clone(), n, attempt.sent, attempt.zone.clone()));
+            if !attempt.may_have_run {
+                records.push(Record::Ended(id.clone(), n, false));
+            }
+        }
+        if message.in_doubt {
+            // It may have run at no known time.
+            records.push(Record::Sent(id.clone(), message.attempts.len(), 0, String::new()));
+        }
+        records.extend(message.owed.map(|end| Record::Owed(id.clone(), end, message.accepted.deadline)));
+        journal.commit(&records, now)?;
+    }
+    for (id, end) in orphans {
+        journal.note(&Record::Owed(id.clone(), *end, now), now);
+    }
+    journal.commit(&[], now)?;
+    if options.durability == Durability::Disk {
+        journal.file.sync_all()?;
+    }
+    Ok(())
+}
+
 /// A new file that is being written.
 struct Copy<'a> {
     out: BufWriter<&'a File>,
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -254,6 +254,9 @@
 /// What happened.
 #[derive(Clone, Debug)]
 pub enum Event {
+    /// What each tenant may have from now on of what counts in full (messages a second), where several senders of
+    /// one process share it.
+    Quotas(Vec<f64>),
     /// A message was handed in; it is owed one final answer.
     Submit(Submit),
     /// An attempt ended.
--- a/crates/policy/src/balancer/env.rs
+++ b/crates/policy/src/balancer/env.rs
@@ -10,7 +10,7 @@
 pub(super) const SECOND: f64 = 1e6;
 
 /// The settings and what follows from them alone (spans in microseconds).
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub(super) struct Env {
     pub(super) s: Settings,
     pub(super) aim: f64,
--- a/crates/policy/src/balancer/mod.rs
+++ b/crates/policy/src/balancer/mod.rs
@@ -55,6 +55,10 @@
                 let gap = (self.e.aim as Micros / 8) << self.broken.min(4);
                 self.subscribe_at = Some(now + gap / 2 + (gap as f64 * chance(&mut self.seed)) as Micros);
             }
+            Event::Quotas(quotas) => {
+                let tenants = Arc::make_mut(&mut self.e).s.tenants.iter_mut();
+                tenants.zip(quotas).for_each(|(tenant, quota)| tenant.quota = quota);
+            }
             Event::Wake if now >= self.wake_at => self.wake_at = Micros::MAX,
             Event::Wake => {}
             Event::TurnEnd => self.turn_end(now, actions),
--- a/crates/rig/src/load.rs
+++ b/crates/rig/src/load.rs
@@ -51,6 +51,8 @@
     pub disk_mb: f64,
     /// Destinations, every second of which takes messages in batches.
     pub dests: usize,
+    /// The forwarder's shards, one number for each life; the last one stays.
+    pub shards: Vec<usize>,
 }
 
 impl Default for Load {
@@ -66,6 +68,7 @@
             kills: 0,
             disk_mb: 3.0,
             dests: 8,
+            shards: vec![1],
         }
     }
 }
@@ -135,6 +138,8 @@
         room: Room { sockets: 1024, disk_mb: load.disk_mb, open_cap: 4000 },
     };
     let mut config = configuration(&figures, free_address()?, discovery.addr, &lines);
+    let mut shards = load.shards.iter().copied();
+    config["shards"] = shards.next().unwrap_or(1).into();
     let setup = Setup { program: program.into(), folder: folder.into(), env: Vec::new(), file_most: None };
     let mut process = Process::start(setup, &config, &ledger).await?;
     config["known"] = serde_json::json!({"rev": discovery.rev(), "all": true, "targets": lines});
@@ -150,6 +155,9 @@
     while Instant::now() < end && crashed.is_none() {
         if kills.next_if(|at| start.elapsed().as_secs_f64() >= *at).is_some() {
             process.kill().await?;
+            if let Some(shards) = shards.next() {
+                config["shards"] = shards.into();
+            }
             process.restart(&config, "").await?;
         }
         crashed = process.ended()?.map(|status| format!("the program ended: {status}"));
--- a/crates/rig/src/play.rs
+++ b/crates/rig/src/play.rs
@@ -56,6 +56,8 @@
     process: Process,
     config: Value,
     damage: Option<f64>,
+    /// The journal that is damaged.
+    journal: std::path::PathBuf,
     /// Started beside each other, so that one that takes time holds nothing up.
     later: Vec<(Instant, Later)>,
 }
@@ -115,7 +117,12 @@
     let start = Instant::now();
     let clients = tokio::spawn(traffic(script.clone(), rng, process.addr, dests.clone(), ledger.clone()));
     let damage = script.damage;
-    let mut world = World { ledger, dests, endpoints, discovery, process, config, damage, later: Vec::new() };
+    let journal = match script.shards {
+        1 => "state/journal".into(),
+        shards => format!("state/layout-1-{shards}/shard-0/journal").into(),
+    };
+    let mut world =
+        World { ledger, dests, endpoints, discovery, process, config, damage, journal, later: Vec::new() };
     let end = start + ms(script.traffic());
     let crashed = world.act(script, start, end + ms(script.rest())).await?;
     let _ = clients.await;
@@ -167,7 +174,7 @@
             Act::Kill(pause) => {
                 self.process.kill().await?;
                 if let Some(part) = self.damage.take() {
-                    damage(&self.process.folder().join("state/journal"), part)?;
+                    damage(&self.process.folder().join(&self.journal), part)?;
                 }
                 sleep(ms(*pause)).await;
                 self.restart("").await?;
--- a/crates/rig/src/script.rs
+++ b/crates/rig/src/script.rs
@@ -89,6 +89,8 @@
     pub file_most: Option<u64>,
     /// The journal is damaged at this part of its length while the process is down.
     pub damage: Option<f64>,
+    /// The forwarder's shards.
+    pub shards: usize,
 }
 
 impl Script {
@@ -170,9 +172,21 @@
             die,
             file_most: full.then(|| 512 * (20 + rng.random_range(0..60u64))),
             damage,
+            shards: 1,
         }
     }
 
+    /// The same with another number of shards.
+    pub fn with_shards(self, shards: usize) -> Self {
+        let rename = Point::BeforeRename.name();
+        // Each segment of a new layout is written once before the program is ready for the first time.
+        let die = self.die.map(|(point, nth)| {
+            let made = if point == rename && shards > 1 { shards as u64 } else { 0 };
+            (point, nth + made)
+        });
+        Script { shards, die, ..self }
+    }
+
     /// When clients stop (ms).
     pub fn traffic(&self) -> f64 {
         TRAFFIC
@@ -206,7 +220,9 @@
             seed: self.seed,
             room: Room::default(),
         };
-        configuration(&figures, listen, discovery, lines)
+        let mut config = configuration(&figures, listen, discovery, lines);
+        config["shards"] = self.shards.into();
+        config
     }
 
     /// The figures by which it is judged.
--- a/crates/yarrowhill/src/config.rs
+++ b/crates/yarrowhill/src/config.rs
@@ -24,11 +24,17 @@
     /// The seed is no hexadecimal number.
     #[error("the seed is no hexadecimal number")]
     Seed(#[from] std::num::ParseIntError),
+    /// Too many shards, or none, or this build has one alone.
+    #[error("{0} shards: this build can have 1 to {1}")]
+    Shards(usize, usize),
     /// A setting cannot be read.
     #[error("settings: {0}")]
     Settings(WireError),
 }
 
+/// Shards that a process may have.
+const SHARDS_MOST: usize = if cfg!(feature = "shards") { 64 } else { 1 };
+
 /// Bounds on what the process may hold.
 #[derive(Clone, Copy, Debug, Deserialize)]
 pub(crate) struct Limits {
@@ -56,6 +62,13 @@
     settings: Value,
     #[serde(default)]
     durability: DurabilityName,
+    /// Engines side by side, each on a thread of its own.
+    #[serde(default = "one")]
+    shards: usize,
+}
+
+fn one() -> usize {
+    1
 }
 
 /// All that the forwarder is told.
@@ -70,6 +83,8 @@
     pub(crate) settings: Settings,
     pub(crate) names: Names,
     pub(crate) durability: Durability,
+    #[cfg_attr(not(feature = "shards"), expect(dead_code, reason = "there is one"))]
+    pub(crate) shards: usize,
 }
 
 impl Config {
@@ -100,6 +115,9 @@
     /// The text can't be made out.
     pub fn parse(text: &[u8], state: PathBuf, path: &Path) -> Result<Self, ConfigError> {
         let file: File = serde_json::from_slice(text).map_err(|e| ConfigError::Form(path.into(), e))?;
+        if !(1..=SHARDS_MOST).contains(&file.shards) {
+            return Err(ConfigError::Shards(file.shards, SHARDS_MOST));
+        }
         let (settings, names) = from_json(&file.settings).map_err(ConfigError::Settings)?;
         Ok(Config {
             listen: file.listen,
@@ -108,6 +126,7 @@
             seed: u64::from_str_radix(&file.seed, 16)?,
             limits: file.limits,
             known: file.known,
+            shards: file.shards,
             settings,
             names,
             durability: match file.durability {
--- a/crates/yarrowhill/src/daemon.rs
+++ b/crates/yarrowhill/src/daemon.rs
@@ -8,30 +8,30 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
-use yarrowhill_engine::{Engine, Input, JournalError, Options, Phase};
+use yarrowhill_engine::{Engine, Input, JournalError, Options, Phase, Room};
 use yarrowhill_http::{Intake, Pool, discovery, notices};
 
 /// What may wait for the engine at a time.
-const INPUTS: usize = 1024;
+pub(crate) const INPUTS: usize = 1024;
 
 /// The part of the memory that bodies may take before the engine has them; the journal's bounds hold from then.
-const BODIES: usize = 8;
+pub(crate) const BODIES: usize = 8;
 
 /// Descriptors for all but clients and endpoints: standard streams, runtime, listener, journal, discovery.
 const OWN: usize = 20;
 
 /// The part of the disk that the journal may take: a little is left for the rounding of file sizes.
-const JOURNAL_PART: f64 = 0.95e6;
+pub(crate) const JOURNAL_PART: f64 = 0.95e6;
 
 /// How the descriptors are shared out, so that neither many clients nor many endpoints use up all of them.
-struct Sockets {
-    clients: usize,
+pub(crate) struct Sockets {
+    pub(crate) clients: usize,
     /// Connections to endpoints without a call.
-    idle: usize,
+    pub(crate) idle: usize,
 }
 
 impl Sockets {
-    fn share(config: &Config) -> Self {
+    pub(crate) fn share(config: &Config) -> Self {
         let free = config.limits.sockets.saturating_sub(OWN.saturating_add(config.settings.slots));
         Sockets { clients: (free * 2 / 3).max(1), idle: (free / 3).max(1) }
     }
@@ -43,6 +43,12 @@
     /// The journal cannot be opened.
     #[error(transparent)]
     Journal(#[from] JournalError),
+    /// Journals of several shards stand in the folder.
+    #[error("{0} holds the journals of several shards, and this build has one alone")]
+    Layouts(std::path::PathBuf),
+    /// A shard has ended although nobody told it to.
+    #[error("shard {0} has ended")]
+    Shard(usize),
     /// A socket or a signal cannot be had.
     #[error("{0}")]
     Io(#[from] io::Error),
@@ -50,7 +56,7 @@
 
 /// Reads the file again at each SIGHUP and passes on discovery's address; all else that the file tells holds
 /// for the whole life of the process. A file that can't be read changes nothing.
-async fn reload(mut hangup: Signal, discovery: watch::Sender<SocketAddr>) {
+pub(crate) async fn reload(mut hangup: Signal, discovery: watch::Sender<SocketAddr>) {
     while hangup.recv().await.is_some() {
         match Config::from_env() {
             Ok(config) => {
@@ -64,12 +70,27 @@
     }
 }
 
+/// Whether the journals of several shards stand in a folder.
+fn has_layouts(state: &std::path::Path) -> bool {
+    let entries = std::fs::read_dir(state).into_iter().flatten().flatten();
+    entries.into_iter().any(|e| e.file_name().to_string_lossy().starts_with("layout-"))
+}
+
 /// Runs until SIGTERM.
 ///
 /// # Errors
 ///
 /// The journal or the listener can't be had.
 pub async fn run(config: Config) -> Result<(), RunError> {
+    let layouts = has_layouts(&config.state);
+    #[cfg(feature = "shards")]
+    if config.shards > 1 || layouts {
+        return crate::sharded::run(config).await;
+    }
+    // Guards what stands there: it would be forgotten.
+    if layouts {
+        return Err(RunError::Layouts(config.state));
+    }
     // Before anybody can see that it is ready: SIGHUP without a handler would end the process.
     let hangup = signal(SignalKind::hangup())?;
     let mut terminate = signal(SignalKind::terminate())?;
@@ -85,6 +106,8 @@
         journal_limit: (config.limits.disk_mb * JOURNAL_PART) as u64,
         durability: config.durability,
         known: config.known,
+        room: Room::own(config.settings.open_cap),
+        shares: None,
     };
     let idle_close = Duration::from_micros(config.settings.idle_close.max(0) as u64);
     let engine = Engine::start(options, Pool::new(idle, idle_close), notices, inputs.clone())?;
--- a/crates/yarrowhill/src/lib.rs
+++ b/crates/yarrowhill/src/lib.rs
@@ -2,6 +2,8 @@
 
 mod config;
 mod daemon;
+#[cfg(feature = "shards")]
+mod sharded;
 
 pub use config::{Config, ConfigError};
 pub use daemon::{RunError, run};
@@ -15,6 +17,14 @@
 /// The configuration can't be read, or the forwarder can't be started.
 pub fn start() -> Result<(), Box<dyn Error>> {
     let config = Config::from_env()?;
+    #[cfg(feature = "shards")]
+    if config.shards > 1 {
+        // Clients are served on as many threads as there are shards, which have threads of their own.
+        let threads = config.shards;
+        let runtime =
+            tokio::runtime::Builder::new_multi_thread().worker_threads(threads).enable_all().build()?;
+        return Ok(runtime.block_on(run(config))?);
+    }
     // There is one core: a second thread would only cost.
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(run(config))?;
--- /dev/null
+++ b/crates/yarrowhill/src/sharded.rs
@@ -0,0 +1,157 @@
+//! The daemon with several engines: each on a thread of its own, with its destinations, its journal and its calls;
+//! clients on the threads of the runtime that this is called on.
+
+use crate::config::Config;
+use crate::daemon::{BODIES, INPUTS, JOURNAL_PART, RunError, Sockets, reload};
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc::{self, Receiver, Sender};
+use tokio::sync::{oneshot, watch};
+use tokio::task::JoinSet;
+use yarrowhill_engine::{
+    Engine, Engines, Input, JournalError, Options, Phase, Room, RoomPool, Shares, fan_out, shard_list,
+    shard_of, shard_settings, unix_now,
+};
+use yarrowhill_http::{Intake, Pool, discovery, notices};
+
+/// What one shard's thread is given.
+struct Shard {
+    options: Options,
+    idle: usize,
+    idle_close: Duration,
+    discovery: watch::Receiver<std::net::SocketAddr>,
+    inputs: Sender<Input>,
+    received: Receiver<Input>,
+    phase: watch::Sender<Phase>,
+    /// Clients are served no longer.
+    served: watch::Receiver<bool>,
+    started: oneshot::Sender<Result<(), JournalError>>,
+}
+
+/// Runs until SIGTERM.
+pub(crate) async fn run(config: Config) -> Result<(), RunError> {
+    // Before anybody can see that it is ready: SIGHUP without a handler would end the process.
+    let hangup = signal(SignalKind::hangup())?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let (shards, rev) = (config.shards, config.known.rev);
+    let Sockets { clients, idle } = Sockets::share(&config);
+    let journal_limit = (config.limits.disk_mb * JOURNAL_PART) as u64 / shards as u64;
+    let journal = yarrowhill_journal::Options { limit: journal_limit, durability: config.durability };
+    let folders =
+        yarrowhill_journal::segments(&config.state, shards, journal, unix_now(), |d| shard_of(d, shards))?;
+    let (told, at) = watch::channel(config.discovery);
+    let (all_served, served) = watch::channel(false);
+    let pool = RoomPool::new(config.settings.open_cap, shards);
+    let shares = Arc::new(Shares::new(shards, config.settings.tenants.len()));
+    let (mut engines, mut phases, mut threads) = (Vec::new(), Vec::new(), JoinSet::new());
+    for (number, state) in folders.into_iter().enumerate() {
+        let (inputs, received) = mpsc::channel(INPUTS);
+        let (phase, shard_phase) = watch::channel(Phase::Open);
+        let (started, start) = oneshot::channel();
+        engines.push(inputs.clone());
+        phases.push(shard_phase);
+        let options = options(&config, number, state, journal_limit, &pool, &shares);
+        let idle_close = Duration::from_micros(config.settings.idle_close.max(0) as u64);
+        let idle = (idle / shards).max(1);
+        let (discovery, served) = (at.clone(), served.clone());
+        let shard = Shard { options, idle, idle_close, discovery, inputs, received, phase, served, started };
+        let name = format!("shard-{number}");
+        let thread = thread::Builder::new().name(name).spawn(move || work(shard))?;
+        threads.spawn_blocking(move || (number, thread.join().is_ok()));
+        start.await.map_err(|_| RunError::Shard(number))??;
+    }
+    let engines = Engines::new(engines);
+    let (lists, listed) = mpsc::channel(INPUTS);
+    tokio::spawn(discovery::watch(at, rev, lists));
+    tokio::spawn(fan_out(listed, engines.clone()));
+    tokio::spawn(reload(hangup, told));
+    let listener = TcpListener::bind(config.listen).await?;
+    let (phase, closing) = watch::channel(Phase::Open);
+    let bodies = config.limits.memory_mb.max(1) * 1024 / BODIES;
+    let intake = Intake::new(config.names, config.settings, engines.clone(), closing, bodies);
+    let mut front = tokio::spawn(yarrowhill_http::serve(listener, clients, Arc::new(intake)));
+    for shard in &phases {
+        tokio::spawn(least(shard.clone(), phases.clone(), phase.clone()));
+    }
+    let mut ends = false;
+    loop {
+        tokio::select! {
+            _ = terminate.recv(), if !ends => {
+                ends = true;
+                for engine in engines.all() {
+                    // An engine is gone only when the process ends.
+                    let _ = engine.send(Input::Close).await;
+                }
+            }
+            _ = &mut front, if !*all_served.borrow() => drop(all_served.send_replace(true)),
+            ended = threads.join_next() => match ended {
+                None => break,
+                Some(Ok((_, true))) if ends => {}
+                Some(Ok((number, _))) => return Err(RunError::Shard(number)),
+                Some(Err(_)) => return Err(RunError::Shard(shards)),
+            },
+        }
+    }
+    front.abort();
+    Ok(())
+}
+
+fn options(
+    config: &Config,
+    number: usize,
+    state: PathBuf,
+    journal_limit: u64,
+    pool: &Arc<RoomPool>,
+    shares: &Arc<Shares>,
+) -> Options {
+    Options {
+        settings: shard_settings(&config.settings, number, config.shards),
+        names: config.names.clone(),
+        seed: config.seed.wrapping_add(number as u64),
+        state,
+        journal_limit,
+        durability: config.durability,
+        known: shard_list(&config.known, number, config.shards),
+        room: Room::leased(pool),
+        shares: Some((number, shares.clone())),
+    }
+}
+
+/// One shard, from its start to its end.
+fn work(shard: Shard) {
+    let Shard { options, idle, idle_close, discovery, inputs, received, phase, mut served, started } = shard;
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(e) => return drop(started.send(Err(e.into()))),
+    };
+    runtime.block_on(async move {
+        let (notices, batches) = mpsc::channel(1);
+        let engine = match Engine::start(options, Pool::new(idle, idle_close), notices, inputs.clone()) {
+            Ok(engine) => engine,
+            Err(e) => return drop(started.send(Err(e))),
+        };
+        tokio::spawn(notices::send_all(discovery, batches, inputs));
+        // Whoever started this waits for it.
+        let _ = started.send(Ok(()));
+        let front = tokio::spawn(async move {
+            let _ = served.wait_for(|served| *served).await;
+        });
+        yarrowhill_engine::run(engine, received, phase, front).await;
+    });
+}
+
+/// Clients see the phase of the shard that is least far on its way to the end.
+async fn least(
+    mut one: watch::Receiver<Phase>,
+    all: Vec<watch::Receiver<Phase>>,
+    front: watch::Sender<Phase>,
+) {
+    while one.changed().await.is_ok() {
+        let least = all.iter().map(|phase| *phase.borrow()).min().unwrap_or(Phase::Shut);
+        front.send_if_modified(|phase| std::mem::replace(phase, least) != least);
+    }
+}
