Play loads against a planted bug one at a time

Need: 'rig bugs' with 20 runs at once did not catch 'drop an end when full': 20 loads beside each other never reached 4,096 ends at a time.

Change: where what is made for a bug is a load, its runs follow each other.

--- a/crates/rig/src/sweep.rs
+++ b/crates/rig/src/sweep.rs
@@ -36,7 +36,9 @@
 ///
 /// A run could not be played.
 pub async fn sweep(sweep: Sweep<'_>, mut told: impl FnMut(u64, &Played)) -> io::Result<Vec<(u64, Played)>> {
-    let room = Arc::new(Semaphore::new(sweep.jobs.max(1)));
+    // Loads beside each other would take each other's rate.
+    let alone = sweep.bug.is_some_and(|bug| matches!(bug.scene(0), Scene::Load(_)));
+    let room = Arc::new(Semaphore::new(if alone { 1 } else { sweep.jobs.max(1) }));
     let mut runs = JoinSet::new();
     for seed in sweep.seeds {
         let (room, program) = (room.clone(), sweep.program.to_owned());
