--- a/crates/bench/src/scale.rs
+++ b/crates/bench/src/scale.rs
@@ -15,8 +15,8 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 use yarrowhill_engine::{
-    Answer, AttemptEnd, Call, CallEnd, EndpointList, Engine, Input, Notice, Options, Room, Submission,
-    Transport, unix_now,
+    Answer, AttemptEnd, Call, CallEnd, EndpointList, Engine, Input, Notice, Options, Submission, Transport,
+    unix_now,
 };
 use yarrowhill_journal::{Durability, End, Journal, Record};
 use yarrowhill_policy::api::{EndpointId, Micros, Outcome};
@@ -92,8 +92,7 @@
             journal_limit: LIMIT,
             durability: Durability::Process,
             known,
-            room: Room::own(open + open / 8 + 1000),
-            shares: None,
+            shard: None,
         };
         let engine = Engine::start(options, calls.clone(), notices, inputs)?;
         Ok(World {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -7,7 +7,7 @@
 use crate::input::Input;
 use crate::list::EndpointList;
 use crate::message::{Answer, Notice, Submission};
-use crate::room::Room;
+use crate::room::{Room, RoomPool};
 use crate::shares::Shares;
 use crate::transport::Transport;
 use std::collections::HashMap;
@@ -61,10 +61,19 @@
     pub durability: Durability,
     /// The list of endpoints as it was last known.
     pub known: EndpointList,
-    /// How many messages may be open.
-    pub room: Room,
-    /// This engine's number among several, and what they tell each other of the owners.
-    pub shares: Option<(usize, Arc<Shares>)>,
+    /// Its place among several engines, if it has others beside it.
+    pub shard: Option<Shard>,
+}
+
+/// One of several engines, and what it shares with the others.
+#[derive(Clone, Debug)]
+pub struct Shard {
+    /// Which of them, from 0 on.
+    pub number: usize,
+    /// Messages that all together may hold.
+    pub pool: Arc<RoomPool>,
+    /// What they tell each other of the owners.
+    pub shares: Arc<Shares>,
 }
 
 /// What one of several engines knows of the owners.
@@ -75,7 +84,8 @@
     quotas: Vec<f64>,
     /// What came in since the others were last told.
     counts: Vec<u64>,
-    told: Micros,
+    /// When they were last told.
+    told: Option<Micros>,
 }
 
 struct Message {
@@ -162,12 +172,16 @@
         let journal = JournalOptions { limit: options.journal_limit, durability: options.durability };
         let (journal, recovered) = Journal::open(&options.state, journal, unix_now())?;
         let quotas: Vec<f64> = options.settings.tenants.iter().map(|t| t.quota).collect();
-        let owners = options.shares.map(|(shard, shares)| {
+        let room = match &options.shard {
+            Some(shard) => Room::leased(&shard.pool),
+            None => Room::own(options.settings.open_cap),
+        };
+        let owners = options.shard.map(|Shard { number, shares, .. }| {
             let counts = vec![0; quotas.len()];
-            Owners { shard, shares, quotas, counts, told: Micros::MIN }
+            Owners { shard: number, shares, quotas, counts, told: None }
         });
         let mut engine = Engine {
-            room: options.room,
+            room,
             owners,
             balancer: Balancer::new(options.settings.clone(), options.seed),
             settings: options.settings,
@@ -283,11 +297,13 @@
 
     /// Tells the other engines what came in to this one, and the module which part of each share is its own now.
     fn tell_shares(&mut self, now: Micros) {
-        let Some(owners) = self.owners.as_mut().filter(|o| now >= o.told.saturating_add(TELL_SHARES)) else {
+        let Some(owners) = &mut self.owners else { return };
+        let span = owners.told.map_or(TELL_SHARES, |told| now - told);
+        if span < TELL_SHARES {
             return;
-        };
-        owners.told = now;
-        owners.shares.tell(owners.shard, &owners.counts);
+        }
+        owners.told = Some(now);
+        owners.shares.tell(owners.shard, &owners.counts, span);
         owners.counts.fill(0);
         let quotas = owners.quotas.iter().enumerate();
         let quotas = quotas.map(|(owner, quota)| quota * owners.shares.part(owners.shard, owner)).collect();
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -29,11 +29,11 @@
 
 pub use call::{AttemptEnd, Call, CallEnd, Item, Order};
 pub use clock::unix_now;
-pub use engine::{Engine, Options};
+pub use engine::{Engine, Options, Shard};
 pub use input::Input;
 pub use list::{EndpointLine, EndpointList, State};
 pub use message::{Answer, Notice, Submission};
-pub use room::{Room, RoomPool};
+pub use room::RoomPool;
 pub use run::{Phase, run};
 pub use shards::{Engines, fan_out, shard_list, shard_of, shard_settings};
 pub use shares::Shares;
--- a/crates/engine/src/room.rs
+++ b/crates/engine/src/room.rs
@@ -30,14 +30,8 @@
 
 /// Room for open messages.
 ///
-/// ```
-/// use yarrowhill_engine::{Room, RoomPool};
-/// let pool = RoomPool::new(100, 2);
-/// let mut room = Room::leased(&pool);
-/// assert!(room.admits(99) && !room.admits(100));
-/// ```
 #[derive(Debug)]
-pub struct Room {
+pub(crate) struct Room {
     held: usize,
     pool: Option<Arc<RoomPool>>,
 }
--- a/crates/engine/tests/engine.rs
+++ b/crates/engine/tests/engine.rs
@@ -12,8 +12,8 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 use yarrowhill_engine::{
-    Answer, AttemptEnd, Call, CallEnd, Durability, Engine, Input, Notice, NoticeEnd, Options, Room,
-    Submission, Transport,
+    Answer, AttemptEnd, Call, CallEnd, Durability, Engine, Input, Notice, NoticeEnd, Options, Submission,
+    Transport,
 };
 use yarrowhill_policy::api::{EndpointId, Outcome};
 
@@ -66,8 +66,7 @@
         journal_limit: limit,
         durability: Durability::Process,
         known: serde_json::from_value(known).expect("it is a list"),
-        room: Room::own(200),
-        shares: None,
+        shard: None,
     }
 }
 
--- a/crates/http/src/calls.rs
+++ b/crates/http/src/calls.rs
@@ -206,7 +206,7 @@
 ) -> Result<Answer, Silence> {
     let several = request.uri().path() == "/hook/batch";
     let reused = match connection {
-        Some(open) => open.is_clean().await,
+        Some(open) => open.is_open(),
         None => false,
     };
     if !reused {
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -18,7 +18,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::task::{JoinHandle, yield_now};
+use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
 /// What a connection may hold of unread bytes, and so the longest head of an answer.
@@ -89,19 +89,12 @@
         Ok(Connection { sender, seen, request, driver })
     }
 
-    /// False once the other side has closed it, or has sent what nothing asked for.
+    /// False once the driver has seen that the other side has closed it, or has sent what nothing asked for. What it
+    /// has not seen yet shows as the first byte of a request is written ([`Status::before_write`]).
     pub(crate) fn is_open(&self) -> bool {
         !self.sender.is_closed()
     }
 
-    /// Whether it may carry another request, as far as the driver knows: it reads an idle connection and ends it at
-    /// the first byte, but only when it has had its turn. What it can't know yet shows as the first byte is written
-    /// (see [`Status::before_write`]).
-    pub(crate) async fn is_clean(&self) -> bool {
-        yield_now().await;
-        self.is_open()
-    }
-
     /// The status in the first line of the last answer, also of one that can't be read further on.
     pub(crate) fn status(&self) -> Option<StatusCode> {
         match *self.seen.borrow() {
@@ -272,6 +265,7 @@
 mod tests {
     use super::*;
     use std::io::{Read, Write};
+    use tokio::task::yield_now;
 
     /// Sends a request after the peer has done something that the runtime could not see yet: this thread stands
     /// still meanwhile, and nothing that follows looks at the socket but the guard. Gives what came of it, and what
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -45,7 +45,7 @@
 
 pub use record::{Accepted, End, Ends, NoticeEnd, Record};
 pub use replay::{Attempt, OpenMessage};
-pub use segments::segments;
+pub use segments::{has_layouts, segments};
 pub use store::{Damage, Durability, Journal, JournalError, Options, Recovered};
 
 /// Reads any bytes as a journal's text, as [`Journal::open`] does, and gives the number of records in it and of
--- a/crates/journal/src/segments.rs
+++ b/crates/journal/src/segments.rs
@@ -12,8 +12,8 @@
 //! alone, so it goes to all shards until it is past.
 
 use crate::replay::OpenMessage;
-use crate::store::{self, Carried, JournalError, Options};
-use std::fs;
+use crate::store::{self, Carried, Durability, JournalError, Options};
+use std::fs::{self, File};
 use std::io;
 use std::path::{Path, PathBuf};
 
@@ -82,14 +82,31 @@
         let orphans = held.iter().filter(|_| number == 0).flat_map(|c| &c.orphans);
         store::plant(folder, options, now, &held, &open, orphans)?;
     }
+    let synced = |folder: &Path| match options.durability {
+        Durability::Process => Ok(()),
+        Durability::Disk => File::open(folder)?.sync_all(),
+    };
+    synced(&unfinished)?;
     if let Some(folder) = &new.folder {
         fs::rename(&unfinished, folder)?;
     }
-    drop(held);
+    synced(state)?;
+    // Still held: nobody else may take on anything there meanwhile.
     take_away(state, &old)?;
+    drop(held);
     Ok(new.segments(state))
 }
 
+/// Whether the journals of several shards stand in a folder, or have stood there: [`segments`] finds its way there,
+/// [`crate::Journal::open`] alone does not.
+///
+/// # Errors
+///
+/// The folder can't be read.
+pub fn has_layouts(state: &Path) -> io::Result<bool> {
+    Ok(layouts(state)?.iter().any(|layout| layout.folder.is_some()))
+}
+
 /// The layouts of a state folder; generation 0 is one of them as long as nothing has come after it.
 fn layouts(state: &Path) -> io::Result<Vec<Layout>> {
     let mut found = Vec::new();
@@ -122,7 +139,7 @@
     use super::*;
     use crate::frame::tests::NOW;
     use crate::record::{Accepted, End, NoticeEnd, Record};
-    use crate::store::{Durability, Journal};
+    use crate::store::Journal;
     use proptest::prelude::*;
     use std::collections::BTreeMap;
 
@@ -236,6 +253,29 @@
         assert!(!state.join("journal").exists());
     }
 
+    /// Segments that began with nothing, and files written anew once all their ends were past: the key of their hashes
+    /// must outlast that, or the ends of two segments could not be told apart from then on.
+    #[test]
+    fn segments_that_held_no_ends_can_be_laid_out_anew() {
+        let state = tempfile::tempdir().expect("a folder");
+        let state = state.path();
+        let mut now = NOW;
+        for shards in [4, 2, 3, 1] {
+            let folders = segments(state, shards, OPTIONS, now, shard(shards)).expect("there is room");
+            for (number, folder) in folders.iter().enumerate() {
+                let (mut journal, _) = Journal::open(folder, OPTIONS, now).expect("it opens");
+                // Long enough to be written anew, with no end in it: those of the round before are past.
+                for _ in 0..100 {
+                    journal.commit(&vec![Record::Gap; 200], now).expect("there is room");
+                }
+                let until = now + 5000;
+                journal.note(&Record::Closed(format!("{shards}-{number}"), End::Failed, until), now);
+                journal.commit(&[], now).expect("there is room");
+            }
+            now += 10_000;
+        }
+    }
+
     /// Another process has the old segments: nothing is taken from under it.
     #[test]
     fn segments_that_are_held_are_left_alone() {
--- a/crates/journal/src/store.rs
+++ b/crates/journal/src/store.rs
@@ -30,6 +30,8 @@
 const COMPACT_AGAIN: u64 = 50;
 /// What is read of the file at a time when it is opened.
 const CHUNK: usize = 64 << 10;
+/// Records in one write of a segment that is laid out anew.
+const RECORDS_A_WRITE: usize = 1024;
 /// What is gathered of a compacted copy before it is written.
 const COPY_BUFFER: usize = 16 << 10;
 /// Bytes that can't be read are kept aside up to this part of the bound.
@@ -298,7 +300,7 @@
 
     fn compacted_len(&self) -> u64 {
         let ends = self.ends.len();
-        let records = ends.div_ceil(ENDS_A_RECORD) as u64 * ENDS_HEAD;
+        let records = ends.div_ceil(ENDS_A_RECORD).max(1) as u64 * ENDS_HEAD;
         FILE_HEAD as u64 + self.live_bytes + records + (ends * ends::SLOT) as u64
     }
 
@@ -488,13 +490,15 @@
         Ok(())
     }
 
-    /// The file's head and the ends that still bind.
+    /// The file's head and the ends that still bind. One record of them at least, also of none: the key of their
+    /// hashes must outlast the file, since segments are told apart by nothing else.
     fn copy_ends(&self, out: &mut Copy, now: u64) -> Result<(), JournalError> {
         out.write(&frame::file_head(self.mark))?;
         let mut body = Vec::with_capacity(ENDS_A_RECORD * ends::SLOT);
         let mut binding = self.ends.binding(now).peekable();
         let mut made = Vec::new();
-        while binding.peek().is_some() {
+        let mut first = true;
+        while std::mem::take(&mut first) || binding.peek().is_some() {
             body.clear();
             binding.by_ref().take(ENDS_A_RECORD).for_each(|end| body.extend_from_slice(&end));
             let record =
@@ -609,9 +613,10 @@
     }
     // First of all: the ends stand before whatever is hashed with their key.
     journal.compact(now)?;
+    let mut records = Vec::new();
     for message in open {
         let id = &message.accepted.id;
-        let mut records = vec![Record::Accepted(message.accepted.clone())];
+        records.push(Record::Accepted(message.accepted.clone()));
         for (n, attempt) in message.attempts.iter().enumerate() {
             records.push(Record::Sent(id.clone(), n, attempt.sent, attempt.zone.clone()));
             if !attempt.may_have_run {
@@ -623,14 +628,18 @@
             records.push(Record::Sent(id.clone(), message.attempts.len(), 0, String::new()));
         }
         records.extend(message.owed.map(|end| Record::Owed(id.clone(), end, message.accepted.deadline)));
-        journal.commit(&records, now)?;
+        if records.len() >= RECORDS_A_WRITE {
+            journal.commit(&records, now)?;
+            records.clear();
+        }
     }
     for (id, end) in orphans {
         journal.note(&Record::Owed(id.clone(), *end, now), now);
     }
-    journal.commit(&[], now)?;
+    journal.commit(&records, now)?;
     if options.durability == Durability::Disk {
         journal.file.sync_all()?;
+        File::open(folder)?.sync_all()?;
     }
     Ok(())
 }
--- a/crates/policy/src/balancer/scope.rs
+++ b/crates/policy/src/balancer/scope.rs
@@ -26,8 +26,9 @@
 const RECOVER: f64 = 0.08;
 /// and where no limit is told by this part with each delivery at least.
 const RECOVER_CALL: f64 = 0.02;
-/// The longer ago the last refusal, the faster: N times this span (seconds), N times the part.
+/// The longer ago the last refusal, the faster: N times this span (seconds), N times the part, up to so many.
 const QUIET_S: f64 = 2.0;
+const QUIET_MOST: f64 = 4.0;
 /// While it warms up, each delivery at its usual pace lets the rate grow by this factor, and a refusal cuts
 /// it to this part; by the settings' own figures the rate starts where nobody can be pushed over.
 const GROW: f64 = 1.4;
@@ -211,7 +212,7 @@
             let part = if self.is_told() || self.state != State::Open {
                 dt * RECOVER
             } else {
-                let quiet = ((now - self.last_refusal) as f64 / SECOND / QUIET_S).clamp(1.0, 4.0);
+                let quiet = ((now - self.last_refusal) as f64 / SECOND / QUIET_S).clamp(1.0, QUIET_MOST);
                 (dt * RECOVER).max(RECOVER_CALL) * quiet
             };
             let grown = l + part * (l + e.least).max(self.own_part(e));
--- a/crates/rig/tests/load.rs
+++ b/crates/rig/tests/load.rs
@@ -25,9 +25,9 @@
     let loaded = play("killed", Load { kills: 2, seed: 2, ..Load::default() }).await;
     assert!(loaded.again.values().sum::<usize>() > 50, "{:?}", loaded.again);
 
-    // From one shard to four, to two: what is open and what is over goes with its messages.
+    // From one shard to four, to two, and back to one: what is open and what is over goes with its messages.
     let loaded =
-        play("resharded", Load { kills: 2, seed: 4, shards: vec![1, 4, 2], ..Load::default() }).await;
+        play("resharded", Load { kills: 3, seed: 4, shards: vec![1, 4, 2, 1], ..Load::default() }).await;
     assert!(loaded.again.values().sum::<usize>() > 50, "{:?}", loaded.again);
 
     // The ends of a second fill it: what has no room is refused, and nothing is forgotten to make some.
--- a/crates/yarrowhill/src/daemon.rs
+++ b/crates/yarrowhill/src/daemon.rs
@@ -8,7 +8,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
-use yarrowhill_engine::{Engine, Input, JournalError, Options, Phase, Room};
+use yarrowhill_engine::{Engine, Input, JournalError, Options, Phase};
 use yarrowhill_http::{Intake, Pool, discovery, notices};
 
 /// What may wait for the engine at a time.
@@ -70,19 +70,13 @@
     }
 }
 
-/// Whether the journals of several shards stand in a folder.
-fn has_layouts(state: &std::path::Path) -> bool {
-    let entries = std::fs::read_dir(state).into_iter().flatten().flatten();
-    entries.into_iter().any(|e| e.file_name().to_string_lossy().starts_with("layout-"))
-}
-
 /// Runs until SIGTERM.
 ///
 /// # Errors
 ///
 /// The journal or the listener can't be had.
 pub async fn run(config: Config) -> Result<(), RunError> {
-    let layouts = has_layouts(&config.state);
+    let layouts = yarrowhill_journal::has_layouts(&config.state)?;
     #[cfg(feature = "shards")]
     if config.shards > 1 || layouts {
         return crate::sharded::run(config).await;
@@ -106,8 +100,7 @@
         journal_limit: (config.limits.disk_mb * JOURNAL_PART) as u64,
         durability: config.durability,
         known: config.known,
-        room: Room::own(config.settings.open_cap),
-        shares: None,
+        shard: None,
     };
     let idle_close = Duration::from_micros(config.settings.idle_close.max(0) as u64);
     let engine = Engine::start(options, Pool::new(idle, idle_close), notices, inputs.clone())?;
--- a/crates/yarrowhill/src/sharded.rs
+++ b/crates/yarrowhill/src/sharded.rs
@@ -13,13 +13,13 @@
 use tokio::sync::{oneshot, watch};
 use tokio::task::JoinSet;
 use yarrowhill_engine::{
-    Engine, Engines, Input, JournalError, Options, Phase, Room, RoomPool, Shares, fan_out, shard_list,
+    Engine, Engines, Input, JournalError, Options, Phase, RoomPool, Shard, Shares, fan_out, shard_list,
     shard_of, shard_settings, unix_now,
 };
 use yarrowhill_http::{Intake, Pool, discovery, notices};
 
 /// What one shard's thread is given.
-struct Shard {
+struct Work {
     options: Options,
     idle: usize,
     idle_close: Duration,
@@ -58,7 +58,7 @@
         let idle_close = Duration::from_micros(config.settings.idle_close.max(0) as u64);
         let idle = (idle / shards).max(1);
         let (discovery, served) = (at.clone(), served.clone());
-        let shard = Shard { options, idle, idle_close, discovery, inputs, received, phase, served, started };
+        let shard = Work { options, idle, idle_close, discovery, inputs, received, phase, served, started };
         let name = format!("shard-{number}");
         let thread = thread::Builder::new().name(name).spawn(move || work(shard))?;
         threads.spawn_blocking(move || (number, thread.join().is_ok()));
@@ -116,14 +116,13 @@
         journal_limit,
         durability: config.durability,
         known: shard_list(&config.known, number, config.shards),
-        room: Room::leased(pool),
-        shares: Some((number, shares.clone())),
+        shard: Some(Shard { number, pool: pool.clone(), shares: shares.clone() }),
     }
 }
 
 /// One shard, from its start to its end.
-fn work(shard: Shard) {
-    let Shard { options, idle, idle_close, discovery, inputs, received, phase, mut served, started } = shard;
+fn work(shard: Work) {
+    let Work { options, idle, idle_close, discovery, inputs, received, phase, mut served, started } = shard;
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(e) => return drop(started.send(Err(e.into()))),
