Keep a fleet's watches apart and its failed asks rare, so that discovery is not kept overbooked

From 12 s on three calls in four were refused at connecting, to destinations of which few connections were open: the forwarders called endpoints that a release had replaced. A trace of the watches: 100 asked in the same instant, 60 were turned away; all asked again every 0.4 s, for the whole list, after each failure (3,325 answers of 503 and 497 given up after half a second in 33 s), and only 13 of 100 heard of a change. 577 of the failures came after 2 s: discovery had worked on them and nobody waited any longer.

Ruled out: tables of connections being full (11 connections open at the destination with the most failures); watches that go on (renewals all succeeded while new ones failed: they cost nothing).

At fault: http/src/discovery.rs, BACK_OFF, GRACE and the version dropped after each failure.

Change: http/src/refresh.rs, a state machine without I/O, decides when to ask, for what, and when again: the first watch by chance within 80 ms a forwarder (10 s at the most), exponential back-off with equal jitter up to the same pace, the version kept while nothing shows it wrong, 2.5 s of patience. Its test plays 1 to 300 of them against a discovery that can answer one watch each in 5 s, with four in five killed at once; without the pace 97% of the asks fail.

--- a/crates/http/src/discovery.rs
+++ b/crates/http/src/discovery.rs
@@ -1,9 +1,12 @@
-//! Keeps the list of endpoints: one watch after another, and the whole list after an error.
+//! Keeps the list of endpoints: one watch after another. When to ask, and for what, is [`crate::refresh`]'s.
 
 use crate::connection::{self, Connection};
+use crate::refresh::{Ask, Failure, Refresh};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::mpsc::Sender;
@@ -11,14 +14,7 @@
 use tokio::time::timeout;
 use yarrowhill_engine::{EndpointList, Input};
 
-/// How long a watch waits for news. Short: an agent that has fallen silent shows only when this has passed,
-/// and what it had to tell counts as told a few seconds later all the same.
-const WATCH: Duration = Duration::from_secs(2);
-/// An answer later than this is taken for lost.
-const GRACE: Duration = Duration::from_millis(500);
 const CONNECT: Duration = Duration::from_secs(1);
-/// A failed call is followed by the next after the first of these, doubled up to the second.
-const BACK_OFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(400));
 /// Longest list that is read.
 const MOST: usize = 8 << 20;
 
@@ -36,49 +32,78 @@
     Form(#[from] serde_json::Error),
 }
 
-/// Watches from `rev` on, for ever; whatever is told goes to the engine in its order. A new address breaks off
-/// the watch at the old one, and the whole list is asked for there: the old one may have fallen behind.
-pub async fn watch(mut at: watch::Receiver<SocketAddr>, rev: u64, engine: Sender<Input>) {
-    let mut known = Some(rev);
+impl Failed {
+    /// What it says of the version that was asked from.
+    fn kind(&self) -> Failure {
+        match self {
+            Failed::Connect(_) | Failed::Silent | Failed::Broken => Failure::Unheard,
+            Failed::Status(status)
+                if status.is_server_error() || *status == StatusCode::TOO_MANY_REQUESTS =>
+            {
+                Failure::Unheard
+            }
+            Failed::Status(_) | Failed::Form(_) => Failure::Unusable,
+        }
+    }
+}
+
+/// Who keeps the list.
+#[derive(Clone, Copy, Debug)]
+pub struct Watcher {
+    /// The version that is known.
+    pub rev: u64,
+    /// Forwarders that share discovery with this one, itself among them.
+    pub senders: usize,
+    /// For random numbers.
+    pub seed: u64,
+}
+
+/// Watches for ever; whatever is told goes to the engine in its order. A new address breaks off the watch at the old
+/// one, and the whole list is asked for there: the old one may have fallen behind.
+pub async fn watch(mut at: watch::Receiver<SocketAddr>, watcher: Watcher, engine: Sender<Input>) {
+    let chance = ChaCha8Rng::seed_from_u64(watcher.seed);
+    let mut refresh = Refresh::new(watcher.senders, watcher.rev, chance);
     let mut connection = None;
-    let mut pause = BACK_OFF.0;
+    // A new address is tried at once.
+    let _ = timeout(refresh.first(), at.changed()).await;
     loop {
         let to = *at.borrow_and_update();
+        let ask = refresh.ask();
         let told = tokio::select! {
             biased;
-            told = call(to, known, &mut connection) => told,
+            told = call(to, ask, &mut connection) => told,
             Ok(()) = at.changed() => {
-                (known, connection, pause) = (None, None, BACK_OFF.0);
+                connection = None;
+                refresh.moved();
                 continue;
             }
         };
         match told {
             Ok(list) => {
-                pause = BACK_OFF.0;
-                known = Some(list.rev);
+                refresh.answered(list.rev);
                 if engine.send(Input::List(list)).await.is_err() {
                     return;
                 }
             }
             Err(e) => {
                 tracing::warn!("discovery: {e}");
-                (known, connection) = (None, None);
-                // A new address is tried at once.
-                let _ = timeout(pause, at.changed()).await;
-                pause = (pause * 2).min(BACK_OFF.1);
+                // One that has answered is whole.
+                if !matches!(e, Failed::Status(_)) {
+                    connection = None;
+                }
+                let pause = refresh.failed(e.kind());
+                if let Ok(Ok(())) = timeout(pause, at.changed()).await {
+                    refresh.moved();
+                }
             }
         }
     }
 }
 
-async fn call(
-    at: SocketAddr,
-    known: Option<u64>,
-    open: &mut Option<Connection>,
-) -> Result<EndpointList, Failed> {
-    let (path, limit) = match known {
-        Some(rev) => (format!("/api/targets?index={rev}&wait={}", WATCH.as_millis()), WATCH + GRACE),
-        None => ("/api/targets".to_owned(), GRACE),
+async fn call(at: SocketAddr, ask: Ask, open: &mut Option<Connection>) -> Result<EndpointList, Failed> {
+    let path = match ask.index {
+        Some(rev) => format!("/api/targets?index={rev}&wait={}", ask.wait.as_millis()),
+        None => "/api/targets".to_owned(),
     };
     if !open.as_ref().is_some_and(Connection::is_open) {
         *open = Some(Connection::open(at, CONNECT).await?);
@@ -94,6 +119,6 @@
             status => Err(Failed::Status(status)),
         }
     };
-    let text = timeout(limit, exchange).await.map_err(|_| Failed::Silent)??;
+    let text = timeout(ask.lost, exchange).await.map_err(|_| Failed::Silent)??;
     Ok(serde_json::from_slice(&text)?)
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -5,7 +5,7 @@
 //! - `watched`: a stream whose bytes are looked at before the parser has them
 //! - `connection`: one connection that this program opened, and that never resends
 //! - `calls`, `pool`: calls and their outcomes; the engine's transport
-//! - `discovery`, `notices`: the platform
+//! - `discovery`, `notices`: the platform; `refresh`: when to ask it for the list
 //!
 //! What anybody may send is bounded: heads, bodies, answers, lists, and the time that each may take.
 
@@ -16,6 +16,7 @@
 mod intake;
 pub mod notices;
 mod pool;
+pub mod refresh;
 mod watched;
 
 pub use intake::{Intake, serve};
--- a/crates/yarrowhill/src/daemon.rs
+++ b/crates/yarrowhill/src/daemon.rs
@@ -9,7 +9,8 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use yarrowhill_engine::{Engine, Input, JournalError, Options, Phase};
-use yarrowhill_http::{Intake, Pool, discovery, notices};
+use yarrowhill_http::discovery::{self, Watcher};
+use yarrowhill_http::{Intake, Pool, notices};
 
 /// What may wait for the engine at a time.
 pub(crate) const INPUTS: usize = 1024;
@@ -54,6 +55,11 @@
     Io(#[from] io::Error),
 }
 
+/// Who keeps the list, and how many others do.
+pub(crate) fn watcher(config: &Config) -> Watcher {
+    Watcher { rev: config.known.rev, senders: config.settings.senders, seed: config.seed }
+}
+
 /// Reads the file again at each SIGHUP and passes on discovery's address; all else that the file tells holds
 /// for the whole life of the process. A file that can't be read changes nothing.
 pub(crate) async fn reload(mut hangup: Signal, discovery: watch::Sender<SocketAddr>) {
@@ -91,7 +97,7 @@
     let Sockets { clients, idle } = Sockets::share(&config);
     let (inputs, received) = mpsc::channel(INPUTS);
     let (notices, batches) = mpsc::channel(1);
-    let rev = config.known.rev;
+    let watcher = watcher(&config);
     let options = Options {
         settings: config.settings.clone(),
         names: config.names.clone(),
@@ -105,7 +111,7 @@
     let idle_close = Duration::from_micros(config.settings.idle_close.max(0) as u64);
     let engine = Engine::start(options, Pool::new(idle, idle_close), notices, inputs.clone())?;
     let (told, at) = watch::channel(config.discovery);
-    tokio::spawn(discovery::watch(at.clone(), rev, inputs.clone()));
+    tokio::spawn(discovery::watch(at.clone(), watcher, inputs.clone()));
     tokio::spawn(notices::send_all(at, batches, inputs.clone()));
     tokio::spawn(reload(hangup, told));
     let close = inputs.clone();
--- a/crates/yarrowhill/src/sharded.rs
+++ b/crates/yarrowhill/src/sharded.rs
@@ -2,7 +2,7 @@
 //! clients on the threads of the runtime that this is called on.
 
 use crate::config::Config;
-use crate::daemon::{BODIES, INPUTS, JOURNAL_PART, RunError, Sockets, reload};
+use crate::daemon::{BODIES, INPUTS, JOURNAL_PART, RunError, Sockets, reload, watcher};
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::thread;
@@ -37,7 +37,8 @@
     // Before anybody can see that it is ready: SIGHUP without a handler would end the process.
     let hangup = signal(SignalKind::hangup())?;
     let mut terminate = signal(SignalKind::terminate())?;
-    let (shards, rev) = (config.shards, config.known.rev);
+    let shards = config.shards;
+    let watcher = watcher(&config);
     let Sockets { clients, idle } = Sockets::share(&config);
     let journal_limit = (config.limits.disk_mb * JOURNAL_PART) as u64 / shards as u64;
     let journal = yarrowhill_journal::Options { limit: journal_limit, durability: config.durability };
@@ -66,7 +67,7 @@
     }
     let engines = Engines::new(engines);
     let (lists, listed) = mpsc::channel(INPUTS);
-    tokio::spawn(discovery::watch(at, rev, lists));
+    tokio::spawn(discovery::watch(at, watcher, lists));
     tokio::spawn(fan_out(listed, engines.clone()));
     tokio::spawn(reload(hangup, told));
     let listener = TcpListener::bind(config.listen).await?;
