Start with a part of a shared limit, and follow what answers tell is left of it

Counted over the fleet, the paces of the hundred together stood at 14,000 calls a second against a limit of 140, and took 4 to 10 s of refusals to come down.

Ruled out: bursts after rest (busiest second 1.1 to 1.4 of the limit in the model); a wrong limit (the listed one is up to half too high, the reported one within a tenth). What is left of the allowance is told in every answer, hardly noisy and alike to all, and falls to nothing half a second to two before the refusals; it was not read.

At fault: list.rs and outcomes.rs, where calls carry one message each sender began with the whole limit; scope.rs, which knew of the others only by refusals.

Change: the first pace is the sender's part of the limit, the more so the more senders share (two and less: the whole of it); the pace is eased to 0.4 with nothing left and rises to 1.3 with all of it, and grows only where some is left. What was told fades within seconds.

--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -173,6 +173,8 @@
 pub struct Report {
     /// Calls a second that the limit allows; `None` where there is no limit.
     pub limit: Option<f64>,
+    /// Share of the limit's allowance that is left (0 to 1); `None` where that is not told or there is no limit.
+    pub left: Option<f64>,
 }
 
 /// What the list says of an endpoint.
--- a/crates/policy/src/balancer/env.rs
+++ b/crates/policy/src/balancer/env.rs
@@ -18,6 +18,10 @@
     pub(super) health: f64,
     /// Part of what all senders share that one may count on.
     pub(super) part: f64,
+    /// How much of what is shared belongs to the others (0 to 1): two and less learn at once from what they see.
+    pub(super) others: f64,
+    /// Part of a told limit that one starts with.
+    pub(super) first: f64,
     /// The slowest pace of use (calls a second): one call an aim; where many share, two an aim in all.
     pub(super) least: f64,
     pub(super) tick: Micros,
@@ -31,8 +35,10 @@
         let warm = (settings.warm_after.max(settings.overload_for) as f64).max(aim);
         let health = warm * HEALTH_SPAN;
         let part = UNEVEN / (settings.senders as f64).max(UNEVEN);
+        let others = 1.0 - part;
+        let first = part.powf(others);
         let least = SECOND / aim * part;
         let tick = settings.round.max(1000);
-        Env { s: settings, aim, warm, health, part, least, tick }
+        Env { s: settings, aim, warm, health, part, others, first, least, tick }
     }
 }
--- a/crates/policy/src/balancer/list.rs
+++ b/crates/policy/src/balancer/list.rs
@@ -35,8 +35,9 @@
                 scope.listed = entry.weight;
             }
             if scope.listed > 0.0 && scope.limit.is_none() {
-                let part = if dest.kind.batch > 1 { self.e.s.senders.max(1) as f64 } else { 1.0 };
-                scope.limit = Some(scope.listed / part);
+                let part =
+                    if dest.kind.batch > 1 { 1.0 / self.e.s.senders.max(1) as f64 } else { self.e.first };
+                scope.limit = Some(scope.listed * part);
             }
         }
     }
--- a/crates/policy/src/balancer/outcomes.rs
+++ b/crates/policy/src/balancer/outcomes.rs
@@ -130,10 +130,14 @@
         let scope = self.scope(dest, endpoint);
         if let Some(limit) = end.report.and_then(|r| r.limit).filter(|limit| scope.believes(*limit)) {
             if scope.ceiling.is_none() {
-                scope.limit = Some(if batch > 1 { limit / e.s.senders.max(1) as f64 } else { limit });
+                scope.limit =
+                    Some(if batch > 1 { limit / e.s.senders.max(1) as f64 } else { limit * e.first });
             }
             scope.ceiling = Some(limit);
         }
+        if let Some(left) = end.report.and_then(|r| r.left) {
+            scope.left = Some((left, now));
+        }
         match end.outcome {
             Outcome::Delivered => scope.delivered(now, end.elapsed as f64, &e),
             Outcome::Full { wait } => scope.refused(now, now - end.elapsed, wait, &e),
--- a/crates/policy/src/balancer/scope.rs
+++ b/crates/policy/src/balancer/scope.rs
@@ -39,6 +39,15 @@
 const RECENT: f64 = 2.0 * SECOND;
 /// Sends let through unspaced, as a span of the limit (seconds).
 const BURST_S: f64 = 0.3;
+/// What is told of a limit's allowance (all of it is 1) counts in full when it is told and falls by e in this time
+/// (microseconds); nothing known is half of it, at which the pace holds.
+const LEFT_SPAN: f64 = 2.0 * SECOND;
+const LEFT_EVEN: f64 = 0.5;
+/// Part of the pace with nothing left, and with all of it.
+const LEFT_NONE: f64 = 0.4;
+const LEFT_ALL: f64 = 1.3;
+/// The pace grows only where more than this is left.
+const LEFT_GROWS: f64 = 0.3;
 /// A told limit within this multiple of the listed one, up or down, is believed.
 const REPORT_TIMES: f64 = 10.0;
 
@@ -76,6 +85,8 @@
     /// Calls a second: allowed to this sender now, told for all senders.
     pub(super) limit: Option<f64>,
     pub(super) ceiling: Option<f64>,
+    /// What was last told to be left of the limit's allowance, and when.
+    pub(super) left: Option<(f64, Micros)>,
     /// What the list told of it; 0 where it told nothing.
     pub(super) listed: f64,
     pub(super) adjusted_at: Micros,
@@ -145,9 +156,23 @@
         self.state != State::Open || slow || share > FALTER_SHARE || self.overdue(now, e) > 0
     }
 
+    /// What is left of the limit's allowance, as far as it is known now.
+    fn left(&self, now: Micros) -> f64 {
+        self.left.map_or(LEFT_EVEN, |(left, told)| {
+            LEFT_EVEN + (left - LEFT_EVEN) * (-((now - told) as f64) / LEFT_SPAN).exp()
+        })
+    }
+
+    /// All who share a limit are told what is left of it before any is refused: the pace follows that at once.
+    fn eased(&self, now: Micros, e: &Env) -> f64 {
+        let off = self.left(now) - LEFT_EVEN;
+        let most = if off < 0.0 { 1.0 - LEFT_NONE } else { LEFT_ALL - 1.0 };
+        1.0 + off / LEFT_EVEN * most * e.others
+    }
+
     /// Calls a second allowed now, and the span of them (seconds) that may go unspaced.
     pub(super) fn rate(&self, now: Micros, e: &Env) -> Option<(f64, f64)> {
-        let limit = self.limit.map(|l| l.max(e.least / 4.0));
+        let limit = self.limit.map(|l| (l * self.eased(now, e)).max(e.least / 4.0));
         let State::Warming(since) = self.state else { return limit.map(|l| (l, BURST_S)) };
         let part = ((now - since) as f64 / e.warm).min(1.0);
         let warm = e.s.start_capacity + (1.0 - e.s.start_capacity) * part;
@@ -215,6 +240,7 @@
                 let quiet = ((now - self.last_refusal) as f64 / SECOND / QUIET_S).clamp(1.0, QUIET_MOST);
                 (dt * RECOVER).max(RECOVER_CALL) * quiet
             };
+            let part = if self.left(now) > LEFT_GROWS * e.others { part } else { 0.0 };
             let grown = l + part * (l + e.least).max(self.own_part(e));
             self.limit = Some(self.ceiling.map_or(grown, |c| grown.min(c)));
             self.adjusted_at = now;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -74,13 +74,16 @@
 
 /// Reads what a destination tells of its limit, value by name; `None` where a value is no number.
 pub fn read_report<'a>(values: impl Iterator<Item = (&'a str, &'a str)>) -> Option<Report> {
-    let mut report = Report { limit: None };
+    let mut report = Report { limit: None, left: None };
     for (name, value) in values {
         let v = value.parse::<f64>().ok().filter(|v| v.is_finite())?;
         if name == "x1" {
             report.limit = Some(v).filter(|l| *l > 0.0);
+        } else if name == "x0" {
+            report.left = Some(v.clamp(0.0, 1.0));
         }
     }
+    report.left = report.left.filter(|_| report.limit.is_some());
     Some(report)
 }
 
