--- a/crates/policy/src/balancer/env.rs
+++ b/crates/policy/src/balancer/env.rs
@@ -20,8 +20,6 @@
     pub(super) part: f64,
     /// How much of what is shared belongs to others (0 to 1): two and less learn at once from what they see.
     pub(super) others: f64,
-    /// Part of a told limit that one starts with.
-    pub(super) first: f64,
     /// The slowest pace of use (calls a second): one call an aim; where many share, two an aim in all.
     pub(super) least: f64,
     pub(super) tick: Micros,
@@ -36,14 +34,13 @@
         let health = warm * HEALTH_SPAN;
         let part = UNEVEN / (settings.senders as f64).max(UNEVEN);
         let others = 1.0 - part;
-        let first = part.powf(others);
         let least = SECOND / aim * part;
         let tick = settings.round.max(1000);
-        Env { s: settings, aim, warm, health, part, others, first, least, tick }
+        Env { s: settings, aim, warm, health, part, others, least, tick }
     }
 
     /// Part of a told limit that one starts with; calls that gather messages can be few.
     pub(super) fn first_of(&self, kind: Kind) -> f64 {
-        if kind.batch > 1 { 1.0 / self.s.senders.max(1) as f64 } else { self.first }
+        if kind.batch > 1 { 1.0 / self.s.senders.max(1) as f64 } else { self.part.powf(self.others) }
     }
 }
--- a/crates/policy/src/balancer/scope.rs
+++ b/crates/policy/src/balancer/scope.rs
@@ -196,14 +196,17 @@
         Some((limit.map_or(rate, |l| l.min(rate)), 0.0))
     }
 
+    /// When the next spaced send falls due. Where a limit is told, a pace that moved counts for the last one too.
+    fn due(&self, rate: f64) -> Micros {
+        let follows = self.state == State::Open && self.ceiling.is_some();
+        self.slot.0 + if follows { (SECOND / rate) as Micros } else { self.slot.1 }
+    }
+
     /// The earliest time at which a call may go.
     pub(super) fn ready_at(&self, now: Micros, e: &Env) -> Micros {
         match (self.state, self.rate(now, e)) {
             (State::Outage(next_try), _) => self.wait_until.max(next_try),
-            (State::Warming(_), _) => self.wait_until.max(self.slot.0 + self.slot.1),
-            (_, Some((r, burst))) => {
-                self.wait_until.max(self.slot.0 + (SECOND * (1.0 / r - burst)) as Micros)
-            }
+            (_, Some((rate, burst))) => self.wait_until.max(self.due(rate) - (burst * SECOND) as Micros),
             _ => self.wait_until,
         }
     }
@@ -211,8 +214,7 @@
     pub(super) fn sent(&mut self, call: u64, now: Micros, full: bool, e: &Env) {
         self.full = full;
         if let Some((rate, _)) = self.rate(now, e) {
-            let space = (SECOND / rate) as Micros;
-            self.slot = (now.max(self.slot.0 + space), space);
+            self.slot = (now.max(self.due(rate)), (SECOND / rate) as Micros);
         }
         self.out.insert(call, now);
         self.long.add(now, e.warm);
