--- a/crates/policy/src/balancer/scope.rs
+++ b/crates/policy/src/balancer/scope.rs
@@ -196,7 +196,7 @@
         Some((limit.map_or(rate, |l| l.min(rate)), 0.0))
     }
 
-    /// When the next spaced send falls due. Where a limit is told, a pace that moved counts for the last one too.
+    /// When the next spaced send falls due. Where a limit is told, a pace that moved counts for the last too.
     fn due(&self, rate: f64) -> Micros {
         let follows = self.state == State::Open && self.ceiling.is_some();
         self.slot.0 + if follows { (SECOND / rate) as Micros } else { self.slot.1 }
