--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -16,7 +16,7 @@
 mod intake;
 pub mod notices;
 mod pool;
-pub mod refresh;
+mod refresh;
 mod watched;
 
 pub use intake::{Intake, serve};
