Write nothing past a key's life, and watch a pushed list from the start

'sent 12.486 attempt=1', 'written 13.487': the module decided 18 ms before the end of the key's life, and the connection took a second (its first SYN was lost). Nothing bounded the first byte (http/calls.rs wrote whenever the connection was up). Cause of the drains: 'asks discovery' first at 6.505 s, agents had the change at 4.6 s: a first watch is put off by up to 10 s among 300 forwarders (refresh.rs). Change: Action::Send tells the moment by which an attempt must begin; calls connect first and write only what may still begin, and what ends before the first byte never ran. Where the list is pushed, a forwarder shares its agent with nobody. YARROWHILL_LOG=debug tells every attempt.

--- a/crates/engine/src/call.rs
+++ b/crates/engine/src/call.rs
@@ -22,6 +22,8 @@
     pub body: Bytes,
     /// The wait for it ends then.
     pub until: Instant,
+    /// Nothing of it may be written later: not begun by then, it ends as [`Outcome::NotSent`].
+    pub begin_by: Instant,
 }
 
 /// A call to make.
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -126,6 +126,7 @@
     attempt: usize,
     endpoint: EndpointId,
     until: Micros,
+    begin_by: Micros,
 }
 
 /// Everything the forwarder knows.
@@ -275,8 +276,8 @@
         let mut sends = Vec::new();
         for action in std::mem::take(&mut self.actions) {
             match action {
-                Action::Send { id, endpoint, timeout } => {
-                    sends.extend(self.prepare(now, id, endpoint, timeout));
+                Action::Send { id, endpoint, timeout, begin_by } => {
+                    sends.extend(self.prepare(now, id, endpoint, timeout, begin_by));
                 }
                 Action::Refuse { id, wait } => {
                     self.give_up(id, End::Refused, Some(wait).filter(|w| *w > 0));
@@ -373,6 +374,7 @@
         past: Past,
     ) -> MessageId {
         let (dest, give_up_at) = (message.accepted.dest, message.give_up_at);
+        tracing::debug!(id = %message.accepted.id, class, dest, left = give_up_at - now, ?past, "taken");
         let id = self.hold(message);
         let submit = Submit { id, class, tenant, key: None, give_up_at, dest, past };
         self.balancer.on_event(now, Event::Submit(submit), &mut self.actions);
@@ -422,6 +424,7 @@
     fn give_up(&mut self, id: MessageId, end: End, wait: Option<Micros>) {
         let Some(mut message) = self.messages.remove(&id) else { return };
         self.ids.remove(&message.accepted.id);
+        tracing::debug!(id = %message.accepted.id, ?end, wait, taken_on = message.taken_on, "given up");
         let wait = wait.and_then(|w| u64::try_from(w).ok());
         if !message.taken_on {
             // A client that has left needs no answer.
@@ -533,12 +536,19 @@
 
     // ---- Calls ----
 
-    fn prepare(&mut self, now: Micros, id: MessageId, endpoint: EndpointId, timeout: Micros) -> Option<Send> {
+    fn prepare(
+        &mut self,
+        now: Micros,
+        id: MessageId,
+        endpoint: EndpointId,
+        timeout: Micros,
+        begin_by: Micros,
+    ) -> Option<Send> {
         let message = self.messages.get_mut(&id)?;
         let attempt = message.attempts;
         message.attempts += 1;
         let until = if timeout == 0 { message.give_up_at } else { now.saturating_add(timeout) };
-        Some(Send { id, attempt, endpoint, until: until.min(message.give_up_at) })
+        Some(Send { id, attempt, endpoint, until: until.min(message.give_up_at), begin_by })
     }
 
     /// Sends of one turn to one endpoint travel together, up to what its kind allows.
@@ -567,6 +577,8 @@
                 continue;
             };
             self.in_flight.insert((send.id, send.attempt), InFlight { sent: now, call: self.next_call });
+            let (name, dest) = (&message.accepted.id, message.accepted.dest);
+            tracing::debug!(id = %name, attempt = send.attempt, endpoint, dest, call = self.next_call, "sent");
             items.push(Item {
                 id: send.id,
                 attempt: send.attempt,
@@ -574,6 +586,7 @@
                 key: message.accepted.key.clone(),
                 body: message.accepted.body.clone(),
                 until: self.clock.instant(send.until.min(ends)),
+                begin_by: self.clock.instant(send.begin_by),
             });
         }
         let Some(t) = self.endpoints.get_mut(endpoint).filter(|_| !items.is_empty()) else { return };
@@ -632,6 +645,9 @@
             }
         }
         let unix = unix_now();
+        if let Some(Message { accepted: Accepted { id, .. }, .. }) = self.messages.get(&id) {
+            tracing::debug!(%id, attempt, ?outcome, took = now - out.sent, ?report, wait, "ended");
+        }
         if finished && let Some(message) = self.messages.remove(&id) {
             self.ids.remove(&message.accepted.id);
             if outcome == Outcome::Delivered && late {
--- a/crates/fuzz/src/target.rs
+++ b/crates/fuzz/src/target.rs
@@ -143,8 +143,15 @@
         let items = 1 + (number + round) % 3;
         let (_orders, orders) = channel(1);
         let until = Instant::now() + Duration::from_millis(700);
-        let item =
-            |n| Item { id: n, attempt: 0, name: format!("m{n}"), key: None, body: "body".into(), until };
+        let item = |n| Item {
+            id: n,
+            attempt: 0,
+            name: format!("m{n}"),
+            key: None,
+            body: "body".into(),
+            until,
+            begin_by: until,
+        };
         let items: Vec<Item> = (0..items).map(item).collect();
         let mut left = items.len();
         let connect_timeout = Duration::from_secs(1);
--- a/crates/http/src/calls.rs
+++ b/crates/http/src/calls.rs
@@ -11,8 +11,6 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::pin::pin;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
 use tokio::sync::mpsc::Sender;
 use tokio::time::{Instant, sleep_until};
 use yarrowhill_engine::{AttemptEnd, Call, CallEnd, Input, Item, Order};
@@ -33,93 +31,132 @@
     results: Sender<Input>,
     keep: impl FnOnce(Connection),
 ) {
-    let mut waiting = std::mem::take(&mut call.items);
-    let mut given_up = Vec::new();
+    let waiting = std::mem::take(&mut call.items);
+    let mut pending = Pending { call, results, waiting, given_up: Vec::new() };
     let answer = loop {
-        let Some(request) = request(&waiting, call.to) else {
+        connection = connection.filter(Connection::is_open);
+        let kept = connection.is_some();
+        if !kept {
+            let opening = Connection::open(pending.call.to, pending.call.connect_timeout);
+            match pending.during(opening, Stage::Connecting).await {
+                Some(Ok(open)) => connection = Some(open),
+                Some(Err(_)) => break Some(Err(Silence::NeverRan)),
+                // Nothing of it was written, and the socket is gone.
+                None => return pending.tell().await,
+            }
+        }
+        // However it came to be that late.
+        pending.expire(Stage::Connecting, Instant::now());
+        let request = request(&pending.waiting, pending.call.to);
+        let (Some(request), Some(open)) = (request, &mut connection) else {
             // Whatever happens, the module hears of each attempt: one that never ends holds its slot for ever.
-            let ended = waiting.iter().map(|item| end(item, Outcome::NotSent)).collect();
+            pending.part(Outcome::NotSent, |_| true);
             connection.map(keep);
-            return tell(&call, &results, ended).await;
-        };
-        let begun = AtomicBool::new(false);
-        let answer = {
-            let mut exchange =
-                pin!(exchange(&mut connection, call.to, call.connect_timeout, request, &begun));
-            loop {
-                let Some(until) = waiting.iter().map(|i| i.until).min() else { break None };
-                tokio::select! {
-                    answer = &mut exchange => break Some(answer),
-                    () = sleep_until(until) => {
-                        let now = Instant::now();
-                        part(&mut waiting, &mut given_up, Outcome::TimedOut, |i| i.until <= now);
-                    }
-                    Some(order) = call.orders.recv() => match order {
-                        Order::CallOff(id, attempt) => {
-                            let named = |i: &Item| (i.id, i.attempt) == (id, attempt);
-                            part(&mut waiting, &mut given_up, Outcome::Cancelled, named);
-                        }
-                        // Guards the rule on waits: a connection may take its whole time to come up, and what was
-                        // decided before the wait would then be written in the midst of it.
-                        Order::Hold if !begun.load(Ordering::Relaxed) => {
-                            part(&mut waiting, &mut given_up, Outcome::NotSent, |_| true);
-                        }
-                        Order::Hold => {}
-                    },
-                }
-                // Guards the rule on second copies where none is allowed: the module may send an attempt that ended
-                // at once again, while this call still counts as out for its message.
-                if !call.second_copies
-                    && let Some(outcome) = given_up.first().map(|end| end.outcome)
-                {
-                    part(&mut waiting, &mut given_up, outcome, |_| true);
-                }
-                // The last of them is told of only when the connection is closed: it holds the slot till then.
-                if !waiting.is_empty() {
-                    tell(&call, &results, std::mem::take(&mut given_up)).await;
-                }
-            }
+            return pending.tell().await;
         };
-        match answer {
-            Some(Err(Silence::Unwritten)) => {}
-            other => break other,
+        tracing::debug!(
+            endpoint = pending.call.endpoint,
+            first = pending.waiting.first().map(|i| &*i.name),
+            kept,
+            "written"
+        );
+        match pending.during(exchange(open, request), Stage::Written).await {
+            // A connection that was kept has turned out to be of no use: the call opens another one.
+            Some(Err(Silence::Unwritten)) if kept => connection = None,
+            answer => break answer,
         }
-        // A connection that was kept has turned out to be of no use: the call opens another one.
-        connection = None;
     };
     let Some(answer) = answer else {
         if let Some(open) = connection.take() {
             open.close().await;
         }
-        return tell(&call, &results, given_up).await;
+        return pending.tell().await;
     };
     let whole = answer.as_ref().is_ok_and(|a| a.whole);
     connection.filter(|_| whole).map(keep);
-    tell(&call, &results, outcomes(&waiting, &answer)).await;
+    pending.given_up.extend(outcomes(&pending.waiting, &answer));
+    pending.tell().await;
 }
 
-async fn tell(call: &Call, results: &Sender<Input>, ended: Vec<AttemptEnd>) {
-    // The engine is gone only when the process ends.
-    let _ = results.send(Input::Call(CallEnd { endpoint: call.endpoint, ended })).await;
+/// How far a call has come.
+#[derive(Clone, Copy, PartialEq)]
+enum Stage {
+    /// Nothing of it is written yet: what ends now never ran.
+    Connecting,
+    Written,
 }
 
-fn end(item: &Item, outcome: Outcome) -> AttemptEnd {
-    AttemptEnd { id: item.id, attempt: item.attempt, outcome, finished: false, report: None, wait: None }
+/// The attempts of a call that have not been told of.
+struct Pending {
+    call: Call,
+    results: Sender<Input>,
+    waiting: Vec<Item>,
+    given_up: Vec<AttemptEnd>,
 }
 
-/// Moves those that meet the condition to the ended ones.
-fn part(
-    waiting: &mut Vec<Item>,
-    ended: &mut Vec<AttemptEnd>,
-    outcome: Outcome,
-    gone: impl Fn(&Item) -> bool,
-) {
-    waiting.retain(|item| {
-        if gone(item) {
-            ended.push(end(item, outcome));
+impl Pending {
+    /// Waits for `work`, while attempts end by their time and by order; `None` once no attempt waits for it.
+    async fn during<T>(&mut self, work: impl Future<Output = T>, stage: Stage) -> Option<T> {
+        let mut work = pin!(work);
+        loop {
+            let until = self.waiting.iter().map(|i| stage.ends(i)).min()?;
+            tokio::select! {
+                done = &mut work => return Some(done),
+                () = sleep_until(until) => self.expire(stage, Instant::now()),
+                Some(order) = self.call.orders.recv() => match order {
+                    Order::CallOff(id, attempt) => {
+                        let outcome = if stage == Stage::Written { Outcome::Cancelled } else { Outcome::NotSent };
+                        self.part(outcome, |i| (i.id, i.attempt) == (id, attempt));
+                    }
+                    // Guards the rule on waits: a connection may take its whole time to come up, and what was
+                    // decided before the wait would then be written in the midst of it.
+                    Order::Hold if stage == Stage::Connecting => self.part(Outcome::NotSent, |_| true),
+                    Order::Hold => {}
+                },
+            }
+            // Guards the rule on second copies where none is allowed: the module may send an attempt that ended
+            // at once again, while this call still counts as out for its message.
+            if !self.call.second_copies
+                && stage == Stage::Written
+                && let Some(outcome) = self.given_up.first().map(|end| end.outcome)
+            {
+                self.part(outcome, |_| true);
+            }
+            // The last of them is told of only when the connection is closed: it holds the slot till then.
+            if !self.waiting.is_empty() {
+                self.tell().await;
+            }
         }
-        !gone(item)
-    });
+    }
+
+    /// Ends those whose time is up at this stage.
+    fn expire(&mut self, stage: Stage, now: Instant) {
+        let outcome = if stage == Stage::Written { Outcome::TimedOut } else { Outcome::NotSent };
+        self.part(outcome, |i| stage.ends(i) <= now);
+    }
+
+    /// Moves those that meet the condition to the ended ones.
+    fn part(&mut self, outcome: Outcome, gone: impl Fn(&Item) -> bool) {
+        let gone = self.waiting.extract_if(.., |item| gone(item));
+        self.given_up.extend(gone.map(|item| end(&item, outcome)));
+    }
+
+    async fn tell(&mut self) {
+        let ended = std::mem::take(&mut self.given_up);
+        // The engine is gone only when the process ends.
+        let _ = self.results.send(Input::Call(CallEnd { endpoint: self.call.endpoint, ended })).await;
+    }
+}
+
+impl Stage {
+    /// When the wait for an attempt ends.
+    fn ends(self, item: &Item) -> Instant {
+        if self == Stage::Written { item.until } else { item.until.min(item.begin_by) }
+    }
+}
+
+fn end(item: &Item, outcome: Outcome) -> AttemptEnd {
+    AttemptEnd { id: item.id, attempt: item.attempt, outcome, finished: false, report: None, wait: None }
 }
 
 #[derive(Serialize)]
@@ -189,7 +226,7 @@
 /// Without an answer that can be read: whether the call may have run.
 #[derive(Clone, Copy)]
 enum Silence {
-    /// Nothing of it was written to a connection that was kept.
+    /// Nothing of it was written.
     Unwritten,
     NeverRan,
     MayHaveRun,
@@ -197,24 +234,8 @@
     Spoilt,
 }
 
-async fn exchange(
-    connection: &mut Option<Connection>,
-    to: SocketAddr,
-    connect_timeout: Duration,
-    request: Request<Full<Bytes>>,
-    begun: &AtomicBool,
-) -> Result<Answer, Silence> {
+async fn exchange(open: &mut Connection, request: Request<Full<Bytes>>) -> Result<Answer, Silence> {
     let several = request.uri().path() == "/hook/batch";
-    let reused = match connection {
-        Some(open) => open.is_open(),
-        None => false,
-    };
-    if !reused {
-        let opened = Connection::open(to, connect_timeout).await;
-        *connection = Some(opened.map_err(|_| Silence::NeverRan)?);
-    }
-    let Some(open) = connection else { return Err(Silence::NeverRan) };
-    begun.store(true, Ordering::Relaxed);
     match open.send(request).await {
         Ok(response) => read(response, several).await,
         // The first line says so, whatever became of the rest.
@@ -222,8 +243,7 @@
             Ok(Answer::bare(StatusCode::OK))
         }
         Err(Broken::Spoilt) => Err(Silence::Spoilt),
-        Err(Broken::Unwritten) if reused => Err(Silence::Unwritten),
-        Err(Broken::Unwritten) => Err(Silence::NeverRan),
+        Err(Broken::Unwritten) => Err(Silence::Unwritten),
         Err(Broken::InDoubt) => Err(Silence::MayHaveRun),
     }
 }
--- a/crates/http/src/discovery.rs
+++ b/crates/http/src/discovery.rs
@@ -69,6 +69,7 @@
     loop {
         let to = *at.borrow_and_update();
         let ask = refresh.ask();
+        tracing::debug!(%to, ?ask, "asks discovery");
         let told = tokio::select! {
             biased;
             told = call(to, ask, &mut connection) => told,
@@ -80,6 +81,7 @@
         };
         match told {
             Ok(list) => {
+                tracing::debug!(rev = list.rev, all = list.all, lines = ?list.lines, "list");
                 refresh.answered(list.rev);
                 if engine.send(Input::List(list)).await.is_err() {
                     return;
--- a/crates/http/tests/calls.rs
+++ b/crates/http/tests/calls.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
 use yarrowhill_engine::{Call, CallEnd, Input, Item, Transport};
@@ -19,14 +19,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let to = listener.local_addr().expect("an address");
     let (inputs, mut news) = mpsc::channel(8);
-    let item = |id, left| Item {
-        id,
-        attempt: 0,
-        name: format!("m{id}"),
-        key: None,
-        body: "body".into(),
-        until: Instant::now() + left,
-    };
+    let item = |id, left| item(id, Instant::now() + left, Instant::now() + left);
     let (_orders, orders) = mpsc::channel(3);
     let items = vec![item(1, SOON), item(2, SOON * 20)];
     let connect_timeout = Duration::from_secs(1);
@@ -43,6 +36,50 @@
     }
 }
 
+/// An address whose connections do not come up until somebody accepts: its queue is full.
+async fn jammed() -> (TcpListener, Vec<TcpStream>) {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a free port");
+    let listener = socket.listen(1).expect("it listens");
+    let to = listener.local_addr().expect("it is bound");
+    let mut queued = Vec::new();
+    while let Ok(Ok(stream)) = timeout(SOON, TcpStream::connect(to)).await {
+        queued.push(stream);
+    }
+    (listener, queued)
+}
+
+/// Guards the life of a key: the module decides in time, and the connection comes up when the destination has
+/// forgotten it. What of the call may still begin goes out alone.
+#[tokio::test]
+async fn what_may_no_longer_begin_once_the_connection_is_up_is_not_written() {
+    let (listener, queued) = jammed().await;
+    let to = listener.local_addr().expect("it is bound");
+    let (inputs, mut news) = mpsc::channel(8);
+    let (_orders, orders) = mpsc::channel(3);
+    let now = Instant::now();
+    let items = vec![item(1, now + SOON * 60, now + SOON), item(2, now + SOON * 60, now + SOON * 60)];
+    let connect_timeout = SOON * 50;
+    let call = Call { endpoint: 1, to, items, second_copies: false, connect_timeout, orders };
+    Pool::new(4, Duration::from_secs(5)).start(call, inputs);
+    match timeout(SOON * 10, news.recv()).await.expect("its time is up") {
+        Some(Input::Call(end)) => assert_eq!(ended(&end), [(1, Outcome::NotSent)]),
+        other => panic!("{other:?}"),
+    }
+    for _ in 0..queued.len() {
+        listener.accept().await.expect("one was queued");
+    }
+    drop(queued);
+    let (mut stream, _) =
+        timeout(SOON * 50, listener.accept()).await.expect("tried again").expect("it is up");
+    let mut text = Vec::new();
+    while !text.ends_with(b"body") {
+        assert!(stream.read_buf(&mut text).await.expect("it writes") > 0);
+    }
+    let text = String::from_utf8_lossy(&text);
+    assert!(text.starts_with("POST /hook HTTP/1.1") && text.contains("m2"), "{text}");
+}
+
 fn ended(news: &CallEnd) -> Vec<(u64, Outcome)> {
     news.ended.iter().map(|e| (e.id, e.outcome)).collect()
 }
@@ -107,6 +144,10 @@
     }
 }
 
+fn item(id: u64, until: Instant, begin_by: Instant) -> Item {
+    Item { id, attempt: 0, name: format!("m{id}"), key: None, body: "body".into(), until, begin_by }
+}
+
 /// Calls twice. Between the two this thread stands still, so that the runtime knows nothing of what comes meanwhile.
 async fn two_calls(behind: fn(&mut std::net::TcpStream)) -> (Vec<Outcome>, Vec<usize>) {
     let (to, calls) = endpoint(behind);
@@ -117,8 +158,7 @@
     for id in 0..2 {
         let (_orders, orders) = mpsc::channel(2);
         let until = Instant::now() + SOON * 20;
-        let items =
-            vec![Item { id, attempt: 0, name: format!("m{id}"), key: None, body: "body".into(), until }];
+        let items = vec![item(id, until, until)];
         let connect_timeout = Duration::from_secs(1);
         let call = Call { endpoint: 1, to, items, second_copies: true, connect_timeout, orders };
         pool.start(call, inputs.clone());
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -305,6 +305,9 @@
         endpoint: EndpointId,
         /// Time-out; 0: until the client stops waiting.
         timeout: Micros,
+        /// Nothing of it may be written later than then: connections take their time to come up, and the destination
+        /// may have forgotten the key by then. Not begun by then, the attempt never ran.
+        begin_by: Micros,
     },
     /// Final answer: handed back; another try does no harm.
     Refuse {
--- a/crates/policy/src/balancer/choice.rs
+++ b/crates/policy/src/balancer/choice.rs
@@ -114,6 +114,7 @@
         let (mut next, mut travelling) = (Some(first), 0);
         while let Some(id) = next.filter(|_| travelling < kind.batch.max(1)) {
             self.unqueue(id);
+            let begin_by = self.sendable_until(&self.messages[&id]);
             let m = self.messages.get_mut(&id).expect("picked from a lane");
             m.place = Place::Out;
             let key = m.m.key.clone();
@@ -128,7 +129,8 @@
             let left = (m.m.give_up_at - now).max(1);
             let repeatable = e.s.classes[m.m.class].effect != Effect::Unsafe;
             let short = (TIMEOUT_TIMES * usual).max(2.0 * e.aim) as Micros;
-            out.push(Action::Send { id, endpoint, timeout: if repeatable { short.min(left) } else { left } });
+            let timeout = if repeatable { short.min(left) } else { left };
+            out.push(Action::Send { id, endpoint, timeout, begin_by });
             let (d, t) = (&self.dests[&dest], &self.endpoints[&endpoint]);
             let scope = if kind.routes_apart { &t.scope } else { &d.scope };
             next = self.pick(d, scope, t, now).map(|(_, id)| id);
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -68,6 +68,25 @@
     assert_eq!(rest.iter().filter(|(_, a)| matches!(a, Action::Fail { id: 1 })).count(), 1);
 }
 
+/// A connection takes its time to come up: what the decision bounds is the first byte.
+#[test]
+fn no_attempt_may_begin_when_the_key_is_forgotten_or_no_answer_can_come_in_time() {
+    let begin_by = |actions: &[Action]| match actions {
+        [Action::Send { begin_by, .. }] => *begin_by,
+        other => panic!("{other:?}"),
+    };
+    let mut r = Rig::new(settings(), vec![entry(1, 1, 0)]);
+    let first = r.now;
+    let give_up_at = r.now + 16 * SEC;
+    let by = begin_by(&r.submit(1, 1, 1));
+    assert!((give_up_at - SEC..give_up_at).contains(&by), "{by}");
+    r.now += 100 * MS;
+    r.ended(1, 0, Outcome::Reset, 100 * MS);
+    let again: Vec<Action> = r.pass(4 * SEC).into_iter().map(|(_, a)| a).collect();
+    let by = begin_by(&again);
+    assert!((first + 4 * SEC..first + 5 * SEC).contains(&by), "the key lives for 5 s: {}", by - first);
+}
+
 #[test]
 fn nothing_goes_to_a_draining_or_missing_endpoint() {
     let mut rig = Rig::new(settings(), vec![entry(10, 1, 0), entry(11, 1, 0)]);
--- a/crates/yarrowhill/src/daemon.rs
+++ b/crates/yarrowhill/src/daemon.rs
@@ -55,9 +55,11 @@
     Io(#[from] io::Error),
 }
 
-/// Who keeps the list, and how many others do.
+/// Who keeps the list, and how many others do. What is pushed is had from an agent of the forwarder's own machine, at
+/// no cost to anybody; only what has to be asked for is shared with the others.
 pub(crate) fn watcher(config: &Config) -> Watcher {
-    Watcher { rev: config.known.rev, senders: config.settings.senders, seed: config.seed }
+    let senders = if config.settings.ask { config.settings.senders } else { 1 };
+    Watcher { rev: config.known.rev, senders, seed: config.seed }
 }
 
 /// Reads the file again at each SIGHUP and passes on discovery's address; all else that the file tells holds
@@ -97,6 +99,7 @@
     let Sockets { clients, idle } = Sockets::share(&config);
     let (inputs, received) = mpsc::channel(INPUTS);
     let (notices, batches) = mpsc::channel(1);
+    tracing::debug!(settings = ?config.settings, "starts");
     let watcher = watcher(&config);
     let options = Options {
         settings: config.settings.clone(),
--- a/crates/yarrowhill/src/main.rs
+++ b/crates/yarrowhill/src/main.rs
@@ -46,6 +46,7 @@
     let cli = Cli::parse();
     // A log that can't be written must not end the forwarder: to tell of it would panic.
     tracing_subscriber::fmt()
+        .with_max_level(level())
         .with_writer(std::io::stderr)
         .log_internal_errors(false)
         .with_ansi(false)
@@ -66,6 +67,13 @@
     }
 }
 
+/// `YARROWHILL_LOG` names the least level that is told. With `debug` that is every attempt of every message: for a
+/// look at one day, not for service.
+fn level() -> tracing::Level {
+    let named = std::env::var("YARROWHILL_LOG").ok();
+    named.and_then(|name| name.parse().ok()).unwrap_or(tracing::Level::INFO)
+}
+
 fn check(file: &std::path::Path) -> Result<(), Box<dyn Error>> {
     Config::read(file, PathBuf::new())?;
     println!("{}: read without a fault", file.display());
--- a/crates/yarrowhill/tests/forwarder.rs
+++ b/crates/yarrowhill/tests/forwarder.rs
@@ -295,6 +295,34 @@
     assert!(w.target.is_quiet(QUIET).await);
 }
 
+/// However many forwarders there are: what is pushed is had from an agent on the forwarder's own machine, and counts
+/// as told once that has it.
+#[tokio::test]
+async fn a_list_that_is_pushed_is_watched_from_the_start() {
+    let mut w = world("plain", |c| {
+        c["settings"]["peersTotal"] = json!(300);
+        c["settings"]["discovery"] = json!("push");
+        // No limit, and so no pace that many would share.
+        c["settings"]["weights"] = json!("off");
+    })
+    .await;
+    let mut next = Stub::start().await;
+    let moved = [
+        target("t", w.target.addr, 7, "plain", "terminating"),
+        target("u", next.addr, 7, "plain", "in_service"),
+    ];
+    w.discovery.push(2, moved.to_vec());
+    let told = Instant::now();
+    for n in 0.. {
+        w.forwarder.hand_in("keyed", &format!("m-{n}"), 9000).await;
+        tokio::select! {
+            call = next.next() => { call.answer(200); break }
+            call = w.target.next() => call.answer(200),
+        }
+    }
+    assert!(told.elapsed() < Duration::from_secs(1), "{:?}", told.elapsed());
+}
+
 #[tokio::test]
 async fn a_silent_call_ends_with_the_message_and_its_connection() {
     let mut w = plain().await;
