Follow own demand within a shared limit; take refused connections for an outage

Cause: `delivered` in scope.rs lets the pace grow by the even part of the limit, whatever is asked of the sender. Cause: `call_ended` took each connection refused at once for a full table and never judged it. Change: while answers tell of room, a sender's pace goes towards what is handed in, in about an aim; a connection refused at once is a full table only where that endpoint has just served or another may, and else counts towards an outage. The model (crates/policy/tests/fleet) plays uneven traffic, scarce connections, cold returns and mass restarts besides.

--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -279,15 +279,6 @@
     ListChanges(Vec<Entry>),
     /// A subscription failed or broke; the old list stays.
     ListBroken,
-    /// Another sender was told this of a destination's limit. May be late, lost or wrong.
-    Heard {
-        /// The destination.
-        dest: DestId,
-        /// What it was told.
-        report: Report,
-        /// When.
-        at: Micros,
-    },
     /// A moment asked for with [`Action::Wake`] has come.
     Wake,
     /// The host has handed in all it has for now. Sends are decided here.
--- a/crates/policy/src/balancer/hold.rs
+++ b/crates/policy/src/balancer/hold.rs
@@ -27,6 +27,7 @@
             seen.add(now, e.warm);
             over = seen.get(now, e.warm) * SECOND / e.warm > tenant.quota;
         }
+        self.dests.get_mut(&m.dest).into_iter().for_each(|d| d.scope.handed_in.add(now, e.warm));
         let (id, key) = (m.id, m.key.clone().filter(|_| c.ordered));
         // A client that comes with less patience than the aim is on time until it leaves.
         let due = m.give_up_at - if m.give_up_at - now > c.aim { c.deadline - c.aim } else { 0 };
--- a/crates/policy/src/balancer/mod.rs
+++ b/crates/policy/src/balancer/mod.rs
@@ -59,11 +59,6 @@
                 let tenants = Arc::make_mut(&mut self.e).s.tenants.iter_mut();
                 tenants.zip(quotas).for_each(|(tenant, quota)| tenant.quota = quota);
             }
-            Event::Heard { dest, report, at } => {
-                if let Some(d) = self.dests.get_mut(&dest).filter(|d| !d.kind.routes_apart) {
-                    d.scope.told(report, at.min(now), false, d.kind, &self.e);
-                }
-            }
             Event::Wake if now >= self.wake_at => self.wake_at = Micros::MAX,
             Event::Wake => {}
             Event::TurnEnd => self.turn_end(now, actions),
--- a/crates/policy/src/balancer/outcomes.rs
+++ b/crates/policy/src/balancer/outcomes.rs
@@ -87,6 +87,10 @@
             t.idle.retain(|at| now - at < e.s.idle_close);
             self.used.insert(a.endpoint);
         }
+        let others = self.others_serve(a.dest, a.endpoint);
+        let t = self.endpoints.get_mut(&a.endpoint).expect("only known endpoints are sent to");
+        let at_once = end.outcome == Outcome::ConnectFailed && end.elapsed < e.s.connect_timeout / 2;
+        self.crowded_until = if at_once { now + e.warm as Micros } else { self.crowded_until };
         match end.outcome {
             Outcome::Delivered => {
                 t.pace = if t.pace > 0.0 { t.pace + PACE_GAIN * (took - t.pace) } else { took };
@@ -97,17 +101,16 @@
             // destination, whose other endpoints go on.
             Outcome::Full { wait: None } if t.fails > 0 => {
                 t.avoid(now, &e);
-                if self.others_serve(now, a.dest, a.endpoint) {
+                if others {
                     return;
                 }
             }
             Outcome::Full { .. } | Outcome::NotSent | Outcome::Spoilt => {}
-            // Turned away at once: it lives, but its table of connections is full.
-            Outcome::ConnectFailed if end.elapsed < e.s.connect_timeout / 2 => {
+            // Turned away at once by one that has just served, or while others may: a full table.
+            _ if at_once && (others || t.served_at.is_some_and(|at| now - at < e.aim as Micros / 2)) => {
                 t.crowded = (t.crowded + 1).min(6);
                 let wait = e.aim / 16.0 * f64::from(1 << t.crowded) * (0.5 + chance(&mut self.seed));
                 t.closed_until = now + wait as Micros;
-                self.crowded_until = now + e.warm as Micros;
                 return;
             }
             _ => t.avoid(now, &e),
@@ -115,20 +118,18 @@
         self.judge(now, a.dest, a.endpoint, end);
     }
 
-    /// Whether the destination delivers by another of its endpoints.
-    fn others_serve(&self, now: Micros, dest: DestId, endpoint: EndpointId) -> bool {
-        let (d, recently) = (&self.dests[&dest], self.e.s.warm_after / AVOID_PART);
-        let serves = |id: &EndpointId| {
-            let t = &self.endpoints[id];
-            *id != endpoint && t.fails == 0 && t.served_at.is_some_and(|at| now - at < recently)
-        };
-        d.scope.state == State::Open && d.endpoints.iter().any(serves)
+    /// Whether another endpoint of the destination may serve.
+    fn others_serve(&self, dest: DestId, endpoint: EndpointId) -> bool {
+        let d = &self.dests[&dest];
+        let well = |t: &Endpoint| t.fails == 0 && t.crowded == 0;
+        let mut others = d.endpoints.iter().filter(|id| **id != endpoint);
+        d.scope.state == State::Open && others.any(|id| well(&self.endpoints[id]))
     }
 
     pub(super) fn judge(&mut self, now: Micros, dest: DestId, endpoint: EndpointId, end: &Ended) {
         let (e, kind) = (self.e.clone(), self.dests[&dest].kind);
         let scope = self.scope(dest, endpoint);
-        end.report.into_iter().for_each(|report| scope.told(report, now, true, kind, &e));
+        end.report.into_iter().for_each(|report| scope.told(report, now, kind, &e));
         match end.outcome {
             Outcome::Delivered => scope.delivered(now, end.elapsed as f64, &e),
             Outcome::Full { wait } => scope.refused(now, now - end.elapsed, wait, &e),
--- a/crates/policy/src/balancer/scope.rs
+++ b/crates/policy/src/balancer/scope.rs
@@ -93,6 +93,7 @@
     /// The last call took all that it may.
     pub(super) full: bool,
     pub(super) long: Fading,
+    pub(super) handed_in: Fading,
     pub(super) short: Fading,
     /// Calls a second of this sender before the outage.
     pub(super) base: f64,
@@ -156,17 +157,15 @@
         self.state != State::Open || slow || share > FALTER_SHARE || self.overdue(now, e) > 0
     }
 
-    /// A limit and what is left of it, as an answer told it then to this sender (`own`) or to another.
-    pub(super) fn told(&mut self, report: Report, at: Micros, own: bool, kind: Kind, e: &Env) {
-        // No note lifts a limit over what the list or an own answer told.
-        let most = if own { f64::MAX } else { self.ceiling.unwrap_or(0.0).max(self.listed) };
-        if let Some(limit) = report.limit.map(|l| l.min(most)).filter(|l| self.believes(*l)) {
+    /// A limit and what is left of it, as an answer told it.
+    pub(super) fn told(&mut self, report: Report, at: Micros, kind: Kind, e: &Env) {
+        if let Some(limit) = report.limit.filter(|l| self.believes(*l)) {
             // A limit that was lowered or raised is so for all who share it, at once.
             let moved = |c: f64| self.limit.map(|l| l * (limit / c).powf(e.others));
             self.limit = self.ceiling.map_or(Some(limit * e.first_of(kind)), moved);
             self.ceiling = Some(limit);
         }
-        let Some(left) = report.left.filter(|_| self.left.is_none_or(|(_, told)| told <= at)) else { return };
+        let Some(left) = report.left else { return };
         self.left = Some((left, at));
         if left < LEFT_LITTLE {
             let dt = ((at - self.adjusted_at) as f64 / SECOND).clamp(0.0, 1.0);
@@ -264,6 +263,10 @@
             };
             let part = if self.left(now) > LEFT_LITTLE * e.others { part } else { 0.0 };
             let grown = l + part * (l + e.least).max(self.own_part(e));
+            // Senders are uneven: while there is room, one goes towards what is asked of it, in about an aim.
+            let room = (self.left(now) / LEFT_EVEN - 1.0).max(0.0) * e.others.powi(3);
+            let more = (self.handed_in.get(now, e.warm) * SECOND / e.warm - l).max(0.0);
+            let grown = grown + more * room * (dt * SECOND / e.aim).min(1.0);
             self.limit = Some(self.ceiling.map_or(grown, |c| grown.min(c)));
             self.adjusted_at = now;
         }
--- /dev/null
+++ b/crates/policy/tests/fleet/play.rs
@@ -0,0 +1,250 @@
+//! Plays a scene: real senders at one destination, under passed-in time. The same seed gives the same play.
+
+use std::collections::{BTreeMap, BTreeSet};
+use yarrowhill_policy::Balancer;
+use yarrowhill_policy::api::*;
+
+use crate::destination::{Destination, FALL_FOR, FALL_MULTIPLE, START, WARM};
+use crate::{MS, SEC};
+
+const STEP: Micros = 10 * MS;
+const SPAN: Micros = 30 * SEC;
+const LIMIT: f64 = 60.0;
+
+/// What is played, from rest. Times count from the start.
+#[derive(Clone, Copy)]
+pub struct Scene {
+    pub senders: usize,
+    /// Demand, as a multiple of the limit.
+    pub load: f64,
+    /// Part of it that comes to one sender; the rest is even.
+    pub one_has: f64,
+    /// The limit falls to half then.
+    pub falls: Option<Micros>,
+    /// The destination is down from then, up again then.
+    pub outage: Option<(Micros, Micros)>,
+    /// Most connections, as a multiple of the senders.
+    pub connections: Option<f64>,
+    /// Seven in ten senders start again then, with what they held.
+    pub restart: Option<Micros>,
+    /// And with what they knew; else with the list alone.
+    pub keeps: bool,
+}
+
+impl Scene {
+    pub fn new(senders: usize, load: f64) -> Self {
+        Scene {
+            senders,
+            load,
+            one_has: 0.0,
+            falls: None,
+            outage: None,
+            connections: None,
+            restart: None,
+            keeps: false,
+        }
+    }
+}
+
+/// What came of a play, in calls a second, and as shares.
+#[derive(Debug)]
+pub struct Played {
+    pub delivered: f64,
+    /// Of the calls.
+    pub refused: f64,
+    /// Delivered of what came to the sender with the most, and of what came to the others.
+    pub one: f64,
+    pub others: f64,
+    /// Connections that were turned away, a second.
+    pub turned_away: f64,
+    /// See [`Destination::push`].
+    pub push: f64,
+    pub culpable: f64,
+}
+
+fn settings(senders: usize) -> Settings {
+    let class = |effect| Class {
+        effect,
+        aim: 3 * SEC,
+        deadline: 12 * SEC,
+        worth: 1.0,
+        late_share: 0.5,
+        ordered: false,
+    };
+    Settings {
+        classes: vec![class(Effect::Keyed { life: 6 * SEC, per_zone: false })],
+        kinds: vec![Kind { routes_apart: false, batch: 1 }],
+        decay: Decay::Halves,
+        senders,
+        // As the platform gives them: twice what the even part keeps busy, and some seconds of it held.
+        slots: (60 / senders).max(4),
+        open_cap: (800 / senders).max(50),
+        max_attempts: 6,
+        cancel: true,
+        retry_after: true,
+        max_retry_after: 3 * SEC,
+        weights: Weights::Rough,
+        idle_close: 5 * SEC,
+        connect_timeout: SEC,
+        round: MS,
+        fall_multiple: FALL_MULTIPLE,
+        overload_for: FALL_FOR,
+        start_capacity: START,
+        warm_after: WARM,
+        ..Settings::default()
+    }
+}
+
+fn chance(seed: &mut u64) -> f64 {
+    *seed ^= *seed << 13;
+    *seed ^= *seed >> 7;
+    *seed ^= *seed << 17;
+    (*seed >> 11) as f64 / (1u64 << 53) as f64
+}
+
+/// One sender and its host.
+struct Sender {
+    balancer: Balancer,
+    wake: Micros,
+    saw: bool,
+    /// What it holds: when it is given up, attempts made, the first that may have run, whether one is out.
+    held: BTreeMap<MessageId, (Micros, usize, Option<Micros>, bool)>,
+    came: usize,
+    delivered: usize,
+}
+
+impl Sender {
+    fn started(scene: &Scene, now: Micros, seed: u64) -> Balancer {
+        let entry =
+            Entry { endpoint: 1, dest: 1, zone: 0, kind: 0, listing: Listing::Serving, weight: LIMIT };
+        let mut balancer = Balancer::new(settings(scene.senders), seed);
+        balancer.on_event(now, Event::ListWhole(vec![entry]), &mut Vec::new());
+        balancer
+    }
+
+    /// Its process is killed and starts again: what it held is handed back, calls that were out may have run.
+    fn restart(&mut self, scene: &Scene, now: Micros, seed: u64) -> Vec<Event> {
+        self.balancer = Self::started(scene, now, seed);
+        let resumed = self.held.iter_mut().map(|(id, (give_up_at, attempts, risk, out))| {
+            *risk = risk.or(out.then_some(now));
+            *out = false;
+            let past = Past { attempts: *attempts, risk: risk.map(|at| (at, 0)) };
+            Event::Submit(submit(*id, *give_up_at, past))
+        });
+        resumed.collect()
+    }
+}
+
+fn submit(id: MessageId, give_up_at: Micros, past: Past) -> Submit {
+    Submit { id, class: 0, tenant: None, key: None, give_up_at, dest: 1, past }
+}
+
+pub fn play(scene: Scene, seed: u64) -> Played {
+    let start = 100 * SEC;
+    let mut dest = Destination::new(LIMIT, start, 5 * SEC);
+    dest.outage = scene.outage.map(|(from, until)| (start + from, start + until));
+    dest.most_connections =
+        scene.connections.map_or(usize::MAX, |part| ((scene.senders as f64 * part) as usize).max(1));
+    let new = |i| Sender {
+        balancer: Sender::started(&scene, start, seed + i as u64),
+        wake: Micros::MIN,
+        saw: false,
+        held: BTreeMap::new(),
+        came: 0,
+        delivered: 0,
+    };
+    let mut fleet: Vec<Sender> = (0..scene.senders).map(new).collect();
+    let mut luck = seed | 1;
+    let mut ends: BTreeMap<Micros, Vec<(usize, Ended)>> = BTreeMap::new();
+    let (mut next, mut calls, mut refused) = (0, 0usize, 0usize);
+    let mut now = start;
+    while now < start + SPAN {
+        if scene.falls.is_some_and(|at| now >= start + at) {
+            dest.rate = LIMIT / 2.0;
+        }
+        let mut events: BTreeMap<usize, Vec<Event>> = BTreeMap::new();
+        if scene.restart.is_some_and(|at| now - start == at) {
+            let dead: BTreeSet<usize> = (0..scene.senders).filter(|i| i % 10 < 7).collect();
+            // What was out of the dead ends nowhere.
+            let gone = |i: &usize| !scene.keeps && dead.contains(i);
+            ends.values_mut().for_each(|ends| ends.retain(|(i, _)| !gone(i)));
+            for i in dead.iter().filter(|i| gone(i)) {
+                let again = fleet[*i].restart(&scene, now, seed + 1000 + *i as u64);
+                events.entry(*i).or_default().extend(again);
+            }
+        }
+        let later = ends.split_off(&(now + 1));
+        for (i, end) in std::mem::replace(&mut ends, later).into_values().flatten() {
+            if let Some(held) = fleet[i].held.get_mut(&end.id) {
+                held.3 = false;
+            }
+            events.entry(i).or_default().push(Event::Ended(end));
+        }
+        for _ in 0..4 {
+            if chance(&mut luck) < scene.load * LIMIT * STEP as f64 / SEC as f64 / 4.0 {
+                let even = (chance(&mut luck) * scene.senders as f64) as usize;
+                let at = if chance(&mut luck) < scene.one_has { 0 } else { even };
+                let give_up_at = now + 12 * SEC;
+                fleet[at].came += 1;
+                fleet[at].held.insert(next, (give_up_at, 0, None, false));
+                let new = Event::Submit(submit(next, give_up_at, Past::default()));
+                events.entry(at).or_default().push(new);
+                next += 1;
+            }
+        }
+        for (i, sender) in fleet.iter_mut().enumerate() {
+            let news = events.remove(&i).unwrap_or_default();
+            if news.is_empty() && now < sender.wake {
+                continue;
+            }
+            sender.wake = Micros::MAX;
+            let mut actions = Vec::new();
+            for event in news.into_iter().chain([Event::Wake, Event::TurnEnd]) {
+                sender.balancer.on_event(now, event, &mut actions);
+            }
+            for action in actions {
+                match action {
+                    Action::Wake { at } => sender.wake = sender.wake.min(at),
+                    Action::Close { .. } => dest.close(i),
+                    Action::Refuse { id, .. } | Action::Fail { id } => drop(sender.held.remove(&id)),
+                    Action::Send { id, .. } => {
+                        let (outcome, report) = dest.call(now, i, sender.saw);
+                        calls += 1;
+                        refused += usize::from(matches!(outcome, Outcome::Full { .. }));
+                        sender.saw |=
+                            outcome != Outcome::Delivered && scene.outage.is_some_and(|o| now - start > o.0);
+                        let finished = outcome == Outcome::Delivered;
+                        let attempt = sender.held.get(&id).map_or(0, |held| held.1);
+                        if finished {
+                            sender.delivered += 1;
+                            sender.held.remove(&id);
+                        } else if let Some(held) = sender.held.get_mut(&id) {
+                            (held.1, held.3) = (attempt + 1, true);
+                        }
+                        let elapsed = if outcome == Outcome::ConnectFailed { 20 * MS } else { 250 * MS };
+                        let end = Ended { id, attempt, outcome, elapsed, finished, report, wait: None };
+                        ends.entry(now + elapsed).or_default().push((i, end));
+                    }
+                    _ => {}
+                }
+            }
+        }
+        now += STEP;
+    }
+    let share = |senders: &[Sender]| {
+        let came: usize = senders.iter().map(|s| s.came).sum();
+        senders.iter().map(|s| s.delivered).sum::<usize>() as f64 / came.max(1) as f64
+    };
+    let (push, culpable) = dest.push();
+    let s = SPAN as f64 / SEC as f64;
+    let delivered = fleet.iter().map(|s| s.delivered).sum::<usize>() as f64 / s;
+    Played {
+        delivered,
+        refused: refused as f64 / calls.max(1) as f64,
+        one: share(&fleet[..1]),
+        others: share(&fleet[1..]),
+        turned_away: dest.connects_refused as f64 / s,
+        push,
+        culpable,
+    }
+}
