Read and check routing documents: KDL, every fault at its place, an index and `config check`

Need: a half-applied edit of the partner list sends messages to partners that no longer exist; the first step to configuration as transactions is a document that is read whole or refused whole. Change: crates/routes, without I/O or clock: partners with pools, address sets, rules (class, owner, partner, header, body, source, hours) that give a pool, a sticky split or a refusal; all faults at once with file, line, column and remedy; a rule that an earlier one shadows is a fault; an index by class, owner and partner; a prefix trie. `yarrowhill config check` reads a file or folder (feature `routes`, not in the platform's build). The daemon does not route by it yet: see the roadmap. Index and trie agree with list and scan in property tests; the index without its order of rules, and a check that looks past lengths of bodies, each fail a test.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,12 +3,14 @@
 //! - `daemon`: messages a second and CPU time for each, the daemon against a bare hyper pass-through, one core each
 //! - `recover`: how long a start takes with much to take up, and how much memory
 //! - `scale`: what a message costs the engine, by how many are open and how many ends bind
+//! - `routes`: a message's rule by the index against the plain list, an address by the trie against a scan
 //! - `journal`: appends against plain `write(2)` of the same bytes
 
 mod daemon;
 mod journal;
 mod passthrough;
 mod recover;
+mod routes;
 mod scale;
 
 use clap::{Parser, Subcommand};
@@ -50,6 +52,8 @@
         #[arg(long, default_value_t = 100_000, value_parser = clap::value_parser!(u64).range(0..=1_000_000))]
         open: u64,
     },
+    /// Routing lookups against plain lists.
+    Routes,
     /// What a message costs, by how many others are open and how many ends bind.
     Scale {
         /// Where the picture goes.
@@ -78,6 +82,7 @@
         Command::Journal { turns } => journal::compare(turns),
         Command::Recover { ends, open } => recover::measure(ends, open),
         Command::Reopen { folder } => recover::reopen(folder),
+        Command::Routes => routes::compare(),
         Command::Scale { plot } => scale::measure(&plot),
         Command::Passthrough { listen, to } => passthrough::run(listen, to),
     }
--- /dev/null
+++ b/crates/routes/src/check.rs
@@ -0,0 +1,46 @@
+//! Faults that no single line shows: rules that can never match, because an earlier one takes all that they are for.
+
+use crate::fault::Fault;
+use crate::model::{Routes, When};
+use crate::router::Router;
+
+/// Every rule that an earlier one shadows.
+pub(crate) fn shadowed(routes: &Routes) -> Vec<Fault> {
+    let router = Router::new(routes.clone());
+    let rules = &routes.rules;
+    let fault = |(n, rule): (usize, &crate::model::Rule)| {
+        let (class, owner, partner) = router.first_of(&rule.when);
+        let mut earlier = router.candidates(class, owner, partner).take_while(|m| *m < n);
+        let by = earlier.find(|m| covers(routes, &rules[*m].when, &rule.when))?;
+        Some(Fault {
+            place: rule.place.clone(),
+            what: format!(
+                "rule {:?} never matches: {:?} takes all that it is for",
+                rule.name, rules[by].name
+            ),
+            remedy: format!("put it before {} or take it out", rules[by].place),
+        })
+    };
+    rules.iter().enumerate().filter_map(fault).collect()
+}
+
+/// Whether every message that `narrow` is for is one that `wide` is for. May say no where it is so by several parts
+/// together; never says yes where it is not.
+fn covers(routes: &Routes, wide: &When, narrow: &When) -> bool {
+    fn all<T: PartialEq>(wide: &[T], narrow: &[T]) -> bool {
+        wide.is_empty() || (!narrow.is_empty() && narrow.iter().all(|n| wide.contains(n)))
+    }
+    let nets =
+        |sets: &[usize]| sets.iter().flat_map(|set| routes.sets[*set].nets.clone()).collect::<Vec<_>>();
+    let from = || {
+        let wide = nets(&wide.from);
+        !narrow.from.is_empty() && nets(&narrow.from).iter().all(|n| wide.iter().any(|w| w.contains(n)))
+    };
+    all(&wide.classes, &narrow.classes)
+        && all(&wide.owners, &narrow.owners)
+        && all(&wide.partners, &narrow.partners)
+        && wide.headers.iter().all(|h| narrow.headers.contains(h))
+        && wide.body.is_none_or(|(least, most)| narrow.body.is_some_and(|(l, m)| least <= l && m <= most))
+        && wide.hours.is_none_or(|hours| narrow.hours.is_some_and(|h| hours.covers(h)))
+        && (wide.from.is_empty() || all(&wide.from, &narrow.from) || from())
+}
--- /dev/null
+++ b/crates/routes/src/lib.rs
@@ -0,0 +1,36 @@
+//! Routing documents: which endpoints of a partner a message may go to, or that it is refused for a while.
+//!
+//! A document is KDL, in one file or several fragments. It is read whole or refused whole, with every fault named at its
+//! place and with its remedy. What was read is checked (a rule that can never match is a fault) and compiled to an
+//! index: the first rule that matches decides. No I/O and no clock: texts and the time of day are passed in. The decision
+//! module goes on choosing the endpoint within what a rule allows.
+//!
+//! ```
+//! use yarrowhill_routes::{Message, Router, read};
+//! let text = r#"
+//! partner "issuer-a" dest=7 {
+//!     pool "near" zone="hall-a"
+//! }
+//! rule "night" {
+//!     match class="settle-order" partner="issuer-a" hours="22:00-06:00"
+//!     refuse wait="30m"
+//! }
+//! "#;
+//! let routes = read(&[("routes.kdl".into(), text.into())]).expect("it is well formed");
+//! let router = Router::new(routes);
+//! let message = Message { class: "settle-order", dest: 7, minute: 23 * 60, ..Message::default() };
+//! assert_eq!(router.route(&message).map(|rule| &*rule.name), Some("night"));
+//! ```
+
+mod check;
+mod fault;
+mod model;
+mod prefixes;
+mod read;
+mod router;
+
+pub use fault::{Fault, Place};
+pub use model::{Action, AddressSet, Hours, Message, Part, Partner, Pool, Routes, Rule, Sticky, When};
+pub use prefixes::Prefixes;
+pub use read::{FILE_MOST, RULES_MOST, read};
+pub use router::Router;
--- a/crates/yarrowhill/src/main.rs
+++ b/crates/yarrowhill/src/main.rs
@@ -2,6 +2,8 @@
 
 #[cfg(feature = "demo")]
 mod demo;
+#[cfg(feature = "routes")]
+mod routes;
 
 use clap::{Parser, Subcommand};
 use std::error::Error;
@@ -26,6 +28,12 @@
         /// The file.
         file: PathBuf,
     },
+    /// Routing documents.
+    #[cfg(feature = "routes")]
+    Config {
+        #[command(subcommand)]
+        what: Documents,
+    },
     /// Shows the forwarder at work between stand-ins on loopback, some of them failing, and accounts for every
     /// message.
     #[cfg(feature = "demo")]
@@ -42,6 +50,20 @@
     },
 }
 
+/// What may be done with a routing document.
+#[cfg(feature = "routes")]
+#[derive(Subcommand)]
+enum Documents {
+    /// Tells every fault of a document: a file, or a folder of fragments. Ends with 1 if there is one.
+    Check {
+        /// The file or folder.
+        path: PathBuf,
+        /// For programs: one JSON object.
+        #[arg(long)]
+        json: bool,
+    },
+}
+
 fn main() -> ExitCode {
     let cli = Cli::parse();
     // A log that can't be written must not end the forwarder: to tell of it would panic.
@@ -55,6 +77,8 @@
     let done = match cli.command.unwrap_or(Command::Run) {
         Command::Run => start(),
         Command::CheckConfig { file } => check(&file),
+        #[cfg(feature = "routes")]
+        Command::Config { what: Documents::Check { path, json } } => return routes::check(&path, json),
         #[cfg(feature = "demo")]
         Command::Demo { seconds, rate, seed } => demo::run(seconds, rate, seed),
     };
