Look at other endpoints only where a call never ran; keep log work off when it is off

Need: a second reading of the change. `call_ended` looked through the destination's endpoints at every call's end, and the engine looked a message up for a log line that nobody asked for; the check of routing documents copied them. Change: the look only where the outcome needs it; the name inside the log line; the check hands the routes back.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -645,9 +645,8 @@
             }
         }
         let unix = unix_now();
-        if let Some(Message { accepted: Accepted { id, .. }, .. }) = self.messages.get(&id) {
-            tracing::debug!(%id, attempt, ?outcome, took = now - out.sent, ?report, wait, "ended");
-        }
+        let name = || self.messages.get(&id).map(|m| &*m.accepted.id);
+        tracing::debug!(id = name(), attempt, ?outcome, took = now - out.sent, ?report, wait, "ended");
         if finished && let Some(message) = self.messages.remove(&id) {
             self.ids.remove(&message.accepted.id);
             if outcome == Outcome::Delivered && late {
--- a/crates/policy/src/balancer/outcomes.rs
+++ b/crates/policy/src/balancer/outcomes.rs
@@ -87,7 +87,7 @@
             t.idle.retain(|at| now - at < e.s.idle_close);
             self.used.insert(a.endpoint);
         }
-        let others = self.others_serve(a.dest, a.endpoint);
+        let others = end.outcome.never_ran() && self.others_serve(a.dest, a.endpoint);
         let t = self.endpoints.get_mut(&a.endpoint).expect("only known endpoints are sent to");
         let at_once = end.outcome == Outcome::ConnectFailed && end.elapsed < e.s.connect_timeout / 2;
         self.crowded_until = if at_once { now + e.warm as Micros } else { self.crowded_until };
--- a/crates/routes/src/check.rs
+++ b/crates/routes/src/check.rs
@@ -4,9 +4,10 @@
 use crate::model::{Routes, When};
 use crate::router::Router;
 
-/// Every rule that an earlier one shadows.
-pub(crate) fn shadowed(routes: &Routes) -> Vec<Fault> {
-    let router = Router::new(routes.clone());
+/// Every rule that an earlier one shadows, and the routes back.
+pub(crate) fn shadowed(routes: Routes) -> (Routes, Vec<Fault>) {
+    let router = Router::new(routes);
+    let routes = router.routes();
     let rules = &routes.rules;
     let fault = |(n, rule): (usize, &crate::model::Rule)| {
         let (class, owner, partner) = router.first_of(&rule.when);
@@ -21,7 +22,8 @@
             remedy: format!("put it before {} or take it out", rules[by].place),
         })
     };
-    rules.iter().enumerate().filter_map(fault).collect()
+    let faults = rules.iter().enumerate().filter_map(fault).collect();
+    (router.into_routes(), faults)
 }
 
 /// Whether every message that `narrow` is for is one that `wide` is for. May say no where it is so by several parts
--- a/crates/routes/src/read.rs
+++ b/crates/routes/src/read.rs
@@ -13,7 +13,7 @@
 pub const FILE_MOST: usize = 4 << 20;
 /// The most rules in a document.
 pub const RULES_MOST: usize = 20_000;
-/// Faults that are told; more are counted.
+/// Faults that are told; what is over is left out.
 const FAULTS_MOST: usize = 1_000;
 /// The longest wait that a rule may tell.
 const WAIT_MOST: Duration = Duration::from_secs(24 * 3600);
@@ -48,7 +48,7 @@
         reader.faults.push(Fault { place: Place::default(), what, remedy: "join some of them".into() });
     }
     if reader.faults.is_empty() {
-        reader.faults = check::shadowed(&reader.routes);
+        (reader.routes, reader.faults) = check::shadowed(reader.routes);
     }
     reader.faults.sort();
     reader.faults.truncate(FAULTS_MOST);
--- a/crates/routes/src/router.rs
+++ b/crates/routes/src/router.rs
@@ -59,6 +59,10 @@
         &self.routes
     }
 
+    pub(crate) fn into_routes(self) -> Routes {
+        self.routes
+    }
+
     /// The first rule that matches.
     pub fn route(&self, message: &Message<'_>) -> Option<&Rule> {
         let class = self.classes.get(message.class).copied();
--- a/crates/routes/tests/documents.rs
+++ b/crates/routes/tests/documents.rs
@@ -70,6 +70,7 @@
         ("from=\"stations\"", "from=\"station\"", (12, 30), "no addresses \"station\""),
         ("least=10 most=2000", "least=2001 most=2000", (12, 5), "no body"),
         ("pool \"near\" weight=1", "pool \"mid\" weight=1", (14, 14), "no pool \"mid\""),
+        ("weight=1\n        pool \"far\" weight=9", "weight=0", (13, 5), "sum to 0"),
         ("rule \"rest\"", "rule \"night\"", (18, 6), "already"),
         ("rule \"rest\"", "route \"rest\"", (18, 1), "unknown node \"route\""),
         ("    pool \"near\"\n}\n", "}\n", (18, 1), "0 actions"),
@@ -92,12 +93,6 @@
     assert!(found.iter().any(|f| f.place.file == "b.kdl"), "{found:#?}");
 }
 
-#[test]
-fn weights_that_sum_to_nothing_are_a_fault() {
-    let found = faults(&GOOD.replacen("weight=1\n", "weight=0\n", 1).replacen("weight=9", "weight=0", 1));
-    assert!(found.iter().any(|f| f.what.contains("sum to 0") && f.place.line == 13), "{found:#?}");
-}
-
 #[test]
 fn a_rule_that_never_matches_is_a_fault() {
     let rule = |name: &str, when: &str| {
