--- /dev/null
+++ b/crates/attack/src/bin/attack.rs
@@ -0,0 +1,134 @@
+//! Attacks by command: seeded schedules, small worlds, figures.
+
+use clap::{Parser, Subcommand};
+use hdrhistogram::Histogram;
+use std::process::ExitCode;
+use yarrowhill_attack::{IdentityWorld, Schedule, SupportWorld, measure, plain, play};
+use yarrowhill_kernel::{Found, search};
+
+/// Attacks the packages without I/O, clocks and chance.
+#[derive(Parser)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Plays seeded faults over fleets in virtual time.
+    Schedules {
+        /// How many.
+        #[arg(long, default_value_t = 10_000)]
+        seeds: u64,
+        /// The first.
+        #[arg(long, default_value_t = 0)]
+        from: u64,
+    },
+    /// Prints the faults of a seed and plays it.
+    Seed {
+        /// Which.
+        seed: u64,
+    },
+    /// Searches small worlds through.
+    Search {
+        /// States at most.
+        #[arg(long, default_value_t = 3_000_000)]
+        most: usize,
+    },
+    /// Measures fleets of these sizes.
+    Measure {
+        /// Members.
+        #[arg(long, value_delimiter = ',', default_value = "3,30,300")]
+        sizes: Vec<usize>,
+        /// Shares of packets that are lost.
+        #[arg(long, value_delimiter = ',', default_value = "0")]
+        loss: Vec<f64>,
+        /// So many in ten are slow.
+        #[arg(long, default_value_t = 0)]
+        slow: usize,
+        /// Deaths.
+        #[arg(long, default_value_t = 10)]
+        deaths: usize,
+        /// The seed.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
+}
+
+fn main() -> ExitCode {
+    let clean = match Cli::parse().command {
+        Command::Schedules { seeds, from } => schedules(from..from + seeds),
+        Command::Seed { seed } => {
+            let schedule = Schedule::draw(seed);
+            schedule.faults.iter().for_each(|(at, f)| println!("{:8.3} {f:?}", *at as f64 / 1e6));
+            println!("{} members, healed at {:.0} s", schedule.size, schedule.healed as f64 / 1e6);
+            let played = play(&schedule);
+            played.iter().for_each(|()| println!("held"));
+            played.map_err(|b| println!("{b}")).is_ok()
+        }
+        Command::Search { most } => {
+            let one = told("support for views", &search(&SupportWorld::default(), most));
+            let two = told("identity over restarts", &search(&IdentityWorld { starts: 2 }, most));
+            one && two
+        }
+        Command::Measure { sizes, loss, slow, deaths, seed } => {
+            for size in sizes {
+                for loss in &loss {
+                    figures(size, *loss, slow, deaths, seed);
+                }
+            }
+            true
+        }
+    };
+    if clean { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+/// Plays them on all cores.
+fn schedules(seeds: std::ops::Range<u64>) -> bool {
+    let jobs = std::thread::available_parallelism().map_or(1, usize::from) as u64;
+    let share = |job: u64| seeds.clone().filter(move |seed| seed % jobs == job);
+    let mut broken = Vec::new();
+    std::thread::scope(|scope| {
+        let threads: Vec<_> = (0..jobs)
+            .map(|job| {
+                let own = share(job);
+                let play = |seed| play(&Schedule::draw(seed)).err().map(|b| (seed, b));
+                scope.spawn(move || own.filter_map(play).collect::<Vec<_>>())
+            })
+            .collect();
+        for thread in threads {
+            broken.extend(thread.join().unwrap_or_default());
+        }
+    });
+    broken.sort_by_key(|(seed, _)| *seed);
+    broken.iter().take(20).for_each(|(seed, breach)| println!("seed {seed}: {breach}"));
+    println!("{} schedules, {} broken", seeds.end - seeds.start, broken.len());
+    broken.is_empty()
+}
+
+fn told<S: std::fmt::Debug>(what: &str, found: &Found<S>) -> bool {
+    let Found { states, depth, complete, breach } = found;
+    println!("{what}: {states} states, {depth} deep, {}", if *complete { "complete" } else { "cut off" });
+    if let Some((way, breach)) = breach {
+        println!("  {breach}, by:");
+        way.iter().for_each(|step| println!("    {step:?}"));
+    }
+    breach.is_none()
+}
+
+fn figures(size: usize, loss: f64, slow: usize, deaths: usize, seed: u64) {
+    let f = measure(size, loss, slow, deaths, seed);
+    let at = |h: &Histogram<u64>| {
+        let s = |q: f64| h.value_at_quantile(q) as f64 / 1000.0;
+        format!("{:.1} / {:.1} / {:.1} s (of {})", s(0.5), s(0.9), s(1.0), h.len())
+    };
+    println!("{size} members, loss {loss}, {slow} in ten slow; p50 / p90 / most");
+    println!("  first to know {}", at(&f.first));
+    println!("  all know      {}", at(&f.all));
+    println!("  one view      {}", at(&f.agreed));
+    println!("  at rest       {:.0} bytes a second a member; wrongly held for dead {:.1}", f.rest, f.wrong);
+    if size <= 300 {
+        let (all, rest) = plain(size, loss, deaths, seed);
+        println!("  plain heartbeats: all know {}, {rest:.0} bytes a second a member", at(&all));
+    }
+}
--- /dev/null
+++ b/crates/attack/src/lib.rs
@@ -0,0 +1,17 @@
+//! Attacks the packages without I/O, clocks and chance: seeded schedules in virtual time, and every way that a small
+//! world can go. The third attack, on processes, is the rig's.
+//!
+//! - `member`: a member of a fleet in the kernel's virtual time, with its folder
+//! - `schedule`: a seed's faults, and what must hold under them
+//! - `worlds`: small worlds of the parts that safety rests on
+//! - `measure`: figures over many members
+
+mod measure;
+mod member;
+mod schedule;
+mod worlds;
+
+pub use measure::{Figures, Plain, measure, plain};
+pub use member::{Folder, Msg, Seated, World, size};
+pub use schedule::{Breach, Fault, Schedule, play};
+pub use worlds::{IdentityWorld, SupportWorld};
--- /dev/null
+++ b/crates/attack/src/measure.rs
@@ -0,0 +1,202 @@
+//! Figures over many members in virtual time, and a plain heartbeat to everybody beside them.
+
+use crate::member::World;
+use crate::schedule::PERIOD;
+use hdrhistogram::Histogram;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use yarrowhill_kernel::{Act, Fleet, Link, Links, Member, Micros, Start};
+use yarrowhill_membership::{Health, Timing};
+
+/// How fine times are (microseconds).
+const STEP: Micros = PERIOD / 20;
+/// A death that is not known by then is not counted (microseconds).
+const PATIENCE: Micros = 90 * PERIOD;
+/// The size of a plain heartbeat on the wire (bytes): a mark, a name's hash and a count.
+const HEARTBEAT: usize = 20;
+/// Silent for so many periods, a member is dead by plain heartbeats.
+const SILENT: u64 = 5;
+
+/// What was measured. Times are in milliseconds of the world.
+#[derive(Clone, Debug)]
+pub struct Figures {
+    /// From a death until the first that holds it for dead,
+    pub first: Histogram<u64>,
+    /// until all do,
+    pub all: Histogram<u64>,
+    /// and until all have the one view without it.
+    pub agreed: Histogram<u64>,
+    /// Bytes that a member sends at rest (a second).
+    pub rest: f64,
+    /// Live members that were held for dead, by each that held them so, an hour of the world.
+    pub wrong: f64,
+}
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new(3).unwrap_or_else(|e| unreachable!("{e}"))
+}
+
+/// Kills `deaths` members of a fleet of `size`, one after another, and lets each come back. Of the fleet `slow` in
+/// ten are stopped again and again for up to a period and a half.
+pub fn measure(size: usize, loss: f64, slow: usize, deaths: usize, seed: u64) -> Figures {
+    let mut timing = Timing::of(PERIOD);
+    timing.confirm = size <= 64;
+    let links = Links::all(Link { loss, ..Link::default() });
+    let mut world = World::new(size, timing, links, seed);
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    (0..size).for_each(|n| world.start(n));
+    let (mut wrong, mut watched) = (0u64, 0);
+    let slowed = |n: usize| n % 10 < slow;
+    let mut advance = |world: &mut World, span: Micros, rng: &mut ChaCha8Rng, dead: Option<usize>| {
+        let end = world.fleet.now() + span;
+        while world.fleet.now() < end {
+            if world.fleet.now().is_multiple_of(PERIOD) {
+                for n in (0..size).filter(|n| slowed(*n)) {
+                    if rng.random_bool(0.3) {
+                        world.fleet.act(&Act::Stall(n, rng.random_range(0..PERIOD * 3 / 2)));
+                    }
+                }
+            }
+            let next = (world.fleet.now() / STEP + 1) * STEP;
+            world.fleet.run_until(next);
+        }
+        watched += span;
+        wrong += believed(world, dead) as u64;
+    };
+    advance(&mut world, 40 * PERIOD, &mut rng, None);
+    wrong_reset(&mut world);
+    let before: u64 = world.fleet.bytes.iter().sum();
+    for _ in 0..30 {
+        advance(&mut world, PERIOD, &mut rng, None);
+    }
+    let rest = (world.fleet.bytes.iter().sum::<u64>() - before) as f64 / (30.0 * size as f64);
+    let mut figures = Figures { first: histogram(), all: histogram(), agreed: histogram(), rest, wrong: 0.0 };
+    for _ in 0..deaths {
+        let dead = rng.random_range(0..size);
+        let id = world.ids[dead];
+        world.kill(dead);
+        let at = world.fleet.now();
+        let (mut first, mut all, mut agreed) = (None, None, None);
+        while agreed.is_none() && world.fleet.now() < at + PATIENCE {
+            advance(&mut world, STEP, &mut rng, Some(dead));
+            let gone = (world.fleet.now() - at) / 1000;
+            let knows = |n: usize| {
+                let known = world.fleet.member(n)?.core.members().find(|(other, _)| *other == id)?;
+                Some(known.1.record.health == Health::Dead)
+            };
+            let live = (0..size).filter(|n| *n != dead);
+            let known = live.clone().filter(|n| knows(*n) == Some(true)).count();
+            if known > 0 {
+                first.get_or_insert(gone);
+            }
+            if known < size - 1 {
+                continue;
+            }
+            all.get_or_insert(gone);
+            let views: Vec<_> = live.filter_map(|n| world.fleet.member(n)).map(|s| s.core.view()).collect();
+            let one = views.iter().all(|v| v.id == views[0].id && !v.members.contains_key(&id));
+            if one {
+                agreed = Some(gone);
+            }
+        }
+        for (told, into) in
+            [(first, &mut figures.first), (all, &mut figures.all), (agreed, &mut figures.agreed)]
+        {
+            told.into_iter().for_each(|ms| into.saturating_record(ms));
+        }
+        world.start(dead);
+        advance(&mut world, 30 * PERIOD, &mut rng, None);
+    }
+    figures.wrong = wrong as f64 * 3.6e9 / watched.max(1) as f64;
+    figures
+}
+
+/// Live members that are held for dead now, by each that does; each is counted at each look.
+fn believed(world: &World, dead: Option<usize>) -> usize {
+    let live = |id| world.number(id).is_some_and(|n| Some(n) != dead && world.fleet.member(n).is_some());
+    let held = |n: usize| {
+        let core = &world.fleet.member(n)?.core;
+        Some(core.members().filter(|(id, e)| e.record.health == Health::Dead && live(*id)).count())
+    };
+    (0..world.fleet.len()).filter_map(held).sum()
+}
+
+fn wrong_reset(world: &mut World) {
+    for n in 0..world.fleet.len() {
+        if let Some(seated) = world.fleet.member_mut(n) {
+            seated.events.clear();
+        }
+    }
+}
+
+/// The plain way: everybody tells everybody each period that it is there.
+pub struct Plain {
+    me: usize,
+    heard: Vec<Micros>,
+    next: Micros,
+    out: Vec<(usize, ())>,
+}
+
+impl Plain {
+    fn holds_dead(&self, now: Micros, other: usize) -> bool {
+        now > self.heard[other] + SILENT * PERIOD
+    }
+}
+
+impl Member for Plain {
+    type Packet = ();
+
+    fn tick(&mut self, now: Micros) {
+        if now >= self.next {
+            self.next = now + PERIOD;
+            self.out = (0..self.heard.len()).filter(|n| *n != self.me).map(|n| (n, ())).collect();
+        }
+    }
+
+    fn handle(&mut self, now: Micros, from: usize, (): ()) {
+        self.heard[from] = now;
+    }
+
+    fn sends(&mut self) -> Vec<(usize, ())> {
+        std::mem::take(&mut self.out)
+    }
+
+    fn next_wake(&self) -> Micros {
+        self.next
+    }
+}
+
+/// The same deaths with plain heartbeats: time until all know, and bytes a member sends a second.
+pub fn plain(size: usize, loss: f64, deaths: usize, seed: u64) -> (Histogram<u64>, f64) {
+    let links = Links::all(Link { loss, ..Link::default() });
+    let mut fleet: Fleet<Plain> = Fleet::new(seed, links, |()| HEARTBEAT);
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    for me in 0..size {
+        fleet.place(Start { offset: 0, rate: 1.0 });
+        let next = rng.random_range(0..PERIOD);
+        fleet.start(me, Plain { me, heard: vec![0; size], next, out: Vec::new() });
+    }
+    fleet.run_until(5 * PERIOD);
+    let before: u64 = fleet.bytes.iter().sum();
+    fleet.run_until(10 * PERIOD);
+    let rest = (fleet.bytes.iter().sum::<u64>() - before) as f64 / (5.0 * size as f64);
+    let mut all = histogram();
+    for _ in 0..deaths {
+        let dead = rng.random_range(0..size);
+        let at = fleet.now();
+        fleet.act(&Act::Kill(dead));
+        loop {
+            let next = fleet.now() + STEP;
+            fleet.run_until(next);
+            let knows = |n: usize| fleet.member(n).is_some_and(|m| m.holds_dead(next, dead));
+            if (0..size).filter(|n| *n != dead).all(knows) {
+                break;
+            }
+        }
+        all.saturating_record((fleet.now() - at) / 1000);
+        let now = fleet.now();
+        fleet.start(dead, Plain { me: dead, heard: vec![now; size], next: now, out: Vec::new() });
+        fleet.run_until(now + 3 * PERIOD);
+    }
+    (all, rest)
+}
--- /dev/null
+++ b/crates/checker/src/fleet.rs
@@ -0,0 +1,403 @@
+//! Judges what several processes claimed of their fleet, from the ledger alone: what was done to them and to the links
+//! between them, and what each said of itself and of the others. Shares no code with membership; the table of what a
+//! standing allows is written a second time here.
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// One line of a fleet's ledger.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct FleetEntry {
+    /// Milliseconds since the start of the run, by the rig's clock.
+    pub at: f64,
+    /// What happened.
+    pub event: FleetEvent,
+}
+
+/// What happened.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum FleetEvent {
+    /// A process was started,
+    Started(usize),
+    /// ended, by a signal that it sees or by one that it does not,
+    Ended(usize),
+    /// stopped,
+    Stopped(usize),
+    /// or woken.
+    Woken(usize),
+    /// A direction carries, or is cut.
+    Link {
+        /// From whom.
+        from: usize,
+        /// To whom.
+        to: usize,
+        /// Whether anything comes through.
+        open: bool,
+    },
+    /// Links carry worse, or as well as at first: while they carry worse, nobody is judged by its detector.
+    Weather {
+        /// Loss, delay, half-open connections.
+        rough: bool,
+    },
+    /// What a direction carried and lost.
+    Carried {
+        /// From whom.
+        from: usize,
+        /// To whom.
+        to: usize,
+        /// Packets that went on their way,
+        packets: u64,
+        /// that were lost,
+        lost: u64,
+        /// and connections.
+        streams: u64,
+    },
+    /// A process said this of itself.
+    Told(Claim),
+}
+
+/// What a process says.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Claim {
+    /// Which process.
+    pub who: usize,
+    /// When it looked, and until when that holds if it hears nothing more (microseconds of a clock that all processes
+    /// of the machine share).
+    pub span: [u64; 2],
+    /// Its standing.
+    pub standing: String,
+    /// Whether it may do what one side alone may do.
+    pub acts: bool,
+    /// Whether it takes on, sends on, and is ready.
+    pub serves: [bool; 3],
+    /// Its view.
+    pub view: String,
+    /// Whose support counts, by number.
+    pub voters: Vec<usize>,
+    /// Members of its view, by number.
+    pub there: Vec<usize>,
+    /// How it holds each process to stand, by number.
+    pub states: Vec<String>,
+    /// Among how many it divides what all share.
+    pub senders: usize,
+}
+
+/// How soon what must hold (ms).
+#[derive(Clone, Copy, Debug)]
+pub struct FleetTerms {
+    /// A death is known to all who are connected, and nobody who is connected is held for dead, after so long.
+    pub known: f64,
+    /// All who are connected hold one view after so long.
+    pub agreed: f64,
+    /// A view stands for so long at least: a change is one step and no flicker.
+    pub settled: f64,
+    /// How late the rig's own clocks were.
+    pub slack: f64,
+}
+
+/// A property of a fleet that did not hold.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FleetBreach {
+    /// When (ms).
+    pub at: f64,
+    /// What.
+    pub what: String,
+}
+
+impl fmt::Display for FleetBreach {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "at {:.0} ms: {}", self.at, self.what)
+    }
+}
+
+/// Judges a run of `size` processes.
+pub fn judge_fleet(terms: &FleetTerms, size: usize, ledger: &[FleetEntry]) -> Vec<FleetBreach> {
+    let mut breaches = Vec::new();
+    exclusive(ledger, &mut breaches);
+    table(ledger, &mut breaches);
+    steps(terms, ledger, &mut breaches);
+    connected(terms, size, ledger, &mut breaches);
+    breaches.sort_by(|a, b| a.at.total_cmp(&b.at));
+    breaches
+}
+
+/// No two processes act under two views at one instant.
+fn exclusive(ledger: &[FleetEntry], breaches: &mut Vec<FleetBreach>) {
+    // A process that said twice in a row that it acts under a view acted between the two looks, as far as the first
+    // claim reached.
+    let mut last: BTreeMap<usize, &Claim> = BTreeMap::new();
+    let mut acted: Vec<(u64, u64, &str, usize)> = Vec::new();
+    for entry in ledger {
+        match &entry.event {
+            FleetEvent::Told(claim) => {
+                if claim.acts {
+                    let (mut from, to) = (claim.span[0], claim.span[0] + 1);
+                    if let Some(before) = last.get(&claim.who).filter(|c| c.acts && c.view == claim.view) {
+                        from = before.span[0];
+                        if before.span[1] < claim.span[0] {
+                            acted.push((from, before.span[1], &claim.view, claim.who));
+                            from = claim.span[0];
+                        }
+                    }
+                    acted.push((from, to, &claim.view, claim.who));
+                }
+                last.insert(claim.who, claim);
+            }
+            FleetEvent::Started(who) | FleetEvent::Ended(who) => drop(last.remove(who)),
+            _ => {}
+        }
+    }
+    acted.sort_unstable();
+    let mut open: Vec<(u64, u64, &str, usize)> = Vec::new();
+    for span in acted {
+        open.retain(|other| other.1 > span.0);
+        if let Some(other) = open.iter().find(|other| other.2 != span.2) {
+            let what = format!("{} acts under {}, and {} under {}", other.3, other.2, span.3, span.2);
+            let at = ledger.iter().find_map(|e| match &e.event {
+                FleetEvent::Told(c) if c.who == span.3 && c.span[0] >= span.0 => Some(e.at),
+                _ => None,
+            });
+            breaches.push(FleetBreach { at: at.unwrap_or(0.0), what });
+            return;
+        }
+        open.push(span);
+    }
+}
+
+/// What a standing allows: acts; takes on, sends on, ready.
+fn allowed(standing: &str) -> Option<(bool, [bool; 3])> {
+    Some(match standing {
+        "whole" | "majority" => (true, [true, true, true]),
+        "minority" | "unsettled" | "alone" => (false, [true, true, true]),
+        "not-yet-known" => (false, [true, true, false]),
+        "leaving" => (false, [false, true, false]),
+        "doubled" => (false, [false, false, false]),
+        _ => return None,
+    })
+}
+
+fn table(ledger: &[FleetEntry], breaches: &mut Vec<FleetBreach>) {
+    for entry in ledger {
+        let FleetEvent::Told(claim) = &entry.event else { continue };
+        if allowed(&claim.standing) != Some((claim.acts, claim.serves)) {
+            let what =
+                format!("{} is {} and may {} {:?}", claim.who, claim.standing, claim.acts, claim.serves);
+            breaches.push(FleetBreach { at: entry.at, what });
+        }
+        // Whoever acts hears a majority of those whose support counts.
+        let voters = claim.voters.iter().filter(|v| claim.there.contains(v)).count();
+        if claim.acts && voters * 2 <= claim.voters.len() {
+            let what = format!("{} acts with {:?}, of voters {:?}", claim.who, claim.there, claim.voters);
+            breaches.push(FleetBreach { at: entry.at, what });
+        }
+    }
+}
+
+/// Nobody's view changes twice within a settling time.
+fn steps(terms: &FleetTerms, ledger: &[FleetEntry], breaches: &mut Vec<FleetBreach>) {
+    // The view of each, and when it was first told, by the process's own looks.
+    let mut stands: BTreeMap<usize, (&str, Option<u64>)> = BTreeMap::new();
+    for entry in ledger {
+        match &entry.event {
+            FleetEvent::Told(claim) => {
+                let at = claim.span[0];
+                match stands.get(&claim.who).copied() {
+                    Some((view, _)) if view == claim.view => {}
+                    Some((_, Some(since))) if ((at - since) as f64) < terms.settled * 1000.0 => {
+                        let what = format!("{} changes its view after {} us", claim.who, at - since);
+                        breaches.push(FleetBreach { at: entry.at, what });
+                        return;
+                    }
+                    known => {
+                        // When the first view was taken up is not known.
+                        let since = known.map(|_| at);
+                        stands.insert(claim.who, (&claim.view, since));
+                    }
+                }
+            }
+            FleetEvent::Started(who) | FleetEvent::Woken(who) => drop(stands.remove(who)),
+            _ => {}
+        }
+    }
+}
+
+/// What truly was, as the rig made it.
+struct Truth {
+    lives: Vec<bool>,
+    stopped: Vec<bool>,
+    open: Vec<Vec<bool>>,
+    rough: bool,
+    /// Since when nothing has changed.
+    since: f64,
+}
+
+impl Truth {
+    /// Those that a process reaches and is reached by, itself counted, by whatever way.
+    fn island(&self, from: usize) -> Vec<usize> {
+        let mut island = vec![from];
+        let mut at = 0;
+        while at < island.len() {
+            let one = island[at];
+            for other in 0..self.lives.len() {
+                let up = self.lives[other] && !self.stopped[other];
+                if up && !island.contains(&other) && self.open[one][other] && self.open[other][one] {
+                    island.push(other);
+                }
+            }
+            at += 1;
+        }
+        island.sort_unstable();
+        island
+    }
+}
+
+/// The dead are known, the living are not held for dead, and those who are connected agree, once nothing has changed
+/// for long enough.
+fn connected(terms: &FleetTerms, size: usize, ledger: &[FleetEntry], breaches: &mut Vec<FleetBreach>) {
+    let mut truth = Truth {
+        lives: vec![false; size],
+        stopped: vec![false; size],
+        open: vec![vec![true; size]; size],
+        rough: false,
+        since: 0.0,
+    };
+    // The newest view of each since the last change, to be compared.
+    let mut views: BTreeMap<usize, &Claim> = BTreeMap::new();
+    for entry in ledger {
+        match &entry.event {
+            FleetEvent::Told(claim) if truth.lives[claim.who] && !truth.stopped[claim.who] => {
+                let calm = entry.at - truth.since - terms.slack;
+                if truth.rough || calm < terms.known {
+                    continue;
+                }
+                let island = truth.island(claim.who);
+                for other in (0..size).filter(|other| *other != claim.who) {
+                    let state = claim.states.get(other).map_or("", String::as_str);
+                    let up = truth.lives[other] && !truth.stopped[other];
+                    let what = match () {
+                        () if !up && matches!(state, "alive" | "suspect") => "is gone",
+                        () if island.contains(&other) && !matches!(state, "alive" | "suspect") => {
+                            "is connected"
+                        }
+                        () => continue,
+                    };
+                    let what = format!("{} holds {other} for {state}, which {what}", claim.who);
+                    breaches.push(FleetBreach { at: entry.at, what });
+                    return;
+                }
+                if calm < terms.agreed {
+                    continue;
+                }
+                // One-way cuts and bridges let everybody hear of everybody: the island is who must agree.
+                for other in &island {
+                    if let Some(theirs) = views.get(other).filter(|theirs| theirs.view != claim.view) {
+                        let what = format!(
+                            "{} holds view {} of {:?}, and {other} {} of {:?}",
+                            claim.who, claim.view, claim.there, theirs.view, theirs.there
+                        );
+                        breaches.push(FleetBreach { at: entry.at, what });
+                        return;
+                    }
+                }
+                views.insert(claim.who, claim);
+            }
+            FleetEvent::Told(_) | FleetEvent::Carried { .. } => {}
+            event => {
+                truth.since = entry.at;
+                views.clear();
+                match event {
+                    FleetEvent::Started(who) => (truth.lives[*who], truth.stopped[*who]) = (true, false),
+                    FleetEvent::Ended(who) => truth.lives[*who] = false,
+                    FleetEvent::Stopped(who) => truth.stopped[*who] = true,
+                    FleetEvent::Woken(who) => truth.stopped[*who] = false,
+                    FleetEvent::Link { from, to, open } => truth.open[*from][*to] = *open,
+                    FleetEvent::Weather { rough } => truth.rough = *rough,
+                    FleetEvent::Told(_) | FleetEvent::Carried { .. } => {}
+                }
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn claim(who: usize, span: [u64; 2], acts: bool, view: &str, there: &[usize], states: &[&str]) -> Claim {
+        let standing = if acts { "majority" } else { "minority" }.to_owned();
+        let states = states.iter().map(|s| (*s).to_owned()).collect();
+        let (view, there, serves) = (view.to_owned(), there.to_vec(), [true; 3]);
+        let voters = (0..3).collect();
+        Claim { who, span, standing, acts, serves, view, voters, there, states, senders: 1 }
+    }
+
+    fn told(at: f64, claim: Claim) -> FleetEntry {
+        FleetEntry { at, event: FleetEvent::Told(claim) }
+    }
+
+    const TERMS: FleetTerms = FleetTerms { known: 100.0, agreed: 200.0, settled: 50.0, slack: 0.0 };
+
+    fn all_up(size: usize) -> Vec<FleetEntry> {
+        (0..size).map(|n| FleetEntry { at: 0.0, event: FleetEvent::Started(n) }).collect()
+    }
+
+    #[test]
+    fn two_views_that_act_at_one_instant_are_a_breach_and_one_after_the_other_none() {
+        let states = ["alive"; 3];
+        let a = |from, to| claim(0, [from, to], true, "a", &[0, 1], &states);
+        let b = |from, to| claim(2, [from, to], true, "b", &[1, 2], &states);
+        let mut ledger = all_up(3);
+        ledger.extend([told(1.0, a(100, 300)), told(2.0, a(200, 400)), told(3.0, b(150, 350))]);
+        let found = judge_fleet(&TERMS, 3, &ledger);
+        assert!(found.iter().any(|b| b.what.contains("acts under")), "{found:?}");
+        let mut ledger = all_up(3);
+        ledger.extend([told(1.0, a(100, 140)), told(2.0, b(150, 350)), told(3.0, a(400, 500))]);
+        assert_eq!(judge_fleet(&TERMS, 3, &ledger), vec![]);
+    }
+
+    #[test]
+    fn the_dead_must_be_known_and_the_connected_not_held_for_dead() {
+        let mut ledger = all_up(3);
+        ledger.push(FleetEntry { at: 10.0, event: FleetEvent::Ended(2) });
+        let late = claim(0, [0, 0], false, "a", &[0, 1], &["alive", "alive", "alive"]);
+        ledger.push(told(50.0, late.clone()));
+        assert_eq!(judge_fleet(&TERMS, 3, &ledger), vec![], "not yet");
+        ledger.push(told(150.0, late));
+        assert!(judge_fleet(&TERMS, 3, &ledger)[0].what.contains("is gone"));
+
+        // 0 and 1 hear each other by 2 alone.
+        let mut ledger = all_up(3);
+        ledger.push(FleetEntry { at: 10.0, event: FleetEvent::Link { from: 0, to: 1, open: false } });
+        ledger.push(told(150.0, claim(0, [0, 0], false, "a", &[0, 2], &["alive", "dead", "alive"])));
+        assert!(judge_fleet(&TERMS, 3, &ledger)[0].what.contains("is connected"));
+    }
+
+    #[test]
+    fn the_connected_must_agree_and_the_table_holds() {
+        let mut ledger = all_up(3);
+        let states = ["alive"; 3];
+        ledger.push(told(250.0, claim(0, [0, 0], false, "a", &[0, 1], &states)));
+        ledger.push(told(260.0, claim(1, [0, 0], false, "b", &[0, 1, 2], &states)));
+        assert!(judge_fleet(&TERMS, 3, &ledger)[0].what.contains("holds view"));
+        let lone = claim(0, [0, 0], true, "a", &[0], &states);
+        let ledger: Vec<_> = all_up(3).into_iter().chain([told(10.0, lone)]).collect();
+        assert!(judge_fleet(&TERMS, 3, &ledger)[0].what.contains("acts with"));
+        let mut odd = claim(0, [0, 0], false, "a", &[0, 1], &states);
+        odd.serves = [true, false, true];
+        let ledger: Vec<_> = all_up(3).into_iter().chain([told(10.0, odd)]).collect();
+        assert_eq!(judge_fleet(&TERMS, 3, &ledger).len(), 1);
+    }
+
+    #[test]
+    fn a_flicker_is_a_breach_and_a_step_is_none() {
+        let view = |at: u64, view: &str| {
+            told(at as f64, claim(0, [at * 1000, at * 1000 + 1], false, view, &[0, 1], &["alive"; 3]))
+        };
+        let mut ledger = all_up(3);
+        ledger.extend([view(1, "a"), view(2, "b"), view(60, "c"), view(120, "a")]);
+        assert_eq!(judge_fleet(&TERMS, 3, &ledger), vec![]);
+        ledger.push(view(150, "b"));
+        assert!(judge_fleet(&TERMS, 3, &ledger)[0].what.contains("changes its view"));
+    }
+}
--- a/crates/checker/src/lib.rs
+++ b/crates/checker/src/lib.rs
@@ -14,10 +14,12 @@
 //! ```
 
 mod accounts;
+mod fleet;
 mod judge;
 mod ledger;
 mod rules;
 
 pub use accounts::{Account, accounts};
+pub use fleet::{Claim, FleetBreach, FleetEntry, FleetEvent, FleetTerms, judge_fleet};
 pub use judge::{Breach, Effect, Rule, Terms, judge};
 pub use ledger::{CallEnd, Entry, Event, Heard, Life, Standing};
--- a/crates/engine/src/input.rs
+++ b/crates/engine/src/input.rs
@@ -15,6 +15,8 @@
     List(EndpointList),
     /// These notices have been acknowledged.
     Noticed(Vec<Notice>),
+    /// So many senders share from now on what is told for all of them.
+    Senders(usize),
     /// The process is to end.
     Close,
 }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -8,7 +8,7 @@
 //! answered or sent that the journal does not hold.
 //!
 //! - `message`, `call`, `list`: what goes in and out
-//! - `input`, `transport`: the two seams
+//! - `input`, `transport`: the two seams; `gate`: what the process may do, asked at the last step
 //! - `shards`, `room`, `shares`: several engines side by side, and what they lease from each other
 //! - `clock`, `endpoints`: parts of the engine
 //! - `engine`: the turn
@@ -18,6 +18,7 @@
 mod clock;
 mod endpoints;
 mod engine;
+mod gate;
 mod input;
 mod list;
 mod message;
@@ -30,6 +31,7 @@
 pub use call::{AttemptEnd, Call, CallEnd, Item, Order};
 pub use clock::unix_now;
 pub use engine::{Engine, Options, Shard};
+pub use gate::Gate;
 pub use input::Input;
 pub use list::{EndpointLine, EndpointList, State};
 pub use message::{Answer, Notice, Submission};
--- /dev/null
+++ b/crates/fleet/src/codec.rs
@@ -0,0 +1,92 @@
+//! Packets as bytes: a mark, a version, and then postcard. A later version adds fields at the end, which this one leaves
+//! unread; one that changes what is there takes another number, and is not read.
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// No UDP packet is longer (bytes): it fits a frame of Ethernet with room for tunnels.
+pub const PACKET_MOST: usize = 1400;
+/// No whole view is longer (bytes): room for the largest roster.
+pub const WHOLE_MOST: usize = 256 << 10;
+/// What a packet begins with.
+const MARK: [u8; 3] = *b"yw\x01";
+
+/// Why bytes are no packet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum CodecError {
+    /// Longer than it may be.
+    #[error("{0} bytes are too many")]
+    Long(usize),
+    /// Not ours, or of another version.
+    #[error("not of this version")]
+    Version,
+    /// Cut off or spoilt.
+    #[error("cannot be read")]
+    Spoilt,
+}
+
+/// The bytes of a packet.
+///
+/// # Errors
+///
+/// It is too long.
+pub fn encode<T: Serialize>(packet: &T, most: usize) -> Result<Vec<u8>, CodecError> {
+    let bytes = postcard::to_extend(packet, MARK.to_vec()).map_err(|_| CodecError::Spoilt)?;
+    if bytes.len() > most { Err(CodecError::Long(bytes.len())) } else { Ok(bytes) }
+}
+
+/// The packet of some bytes, whatever they are.
+///
+/// # Errors
+///
+/// They are none.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8], most: usize) -> Result<T, CodecError> {
+    if bytes.len() > most {
+        return Err(CodecError::Long(bytes.len()));
+    }
+    let body = bytes.strip_prefix(&MARK).ok_or(CodecError::Version)?;
+    postcard::take_from_bytes(body).map(|(packet, _)| packet).map_err(|_| CodecError::Spoilt)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+    use yarrowhill_membership::*;
+
+    fn largest() -> Packet {
+        let inc = Incarnation { boot: u64::MAX, round: u64::MAX };
+        let record = Record { inc, health: Health::Left, life: Life(u64::MAX) };
+        let update = Update { about: MemberId(u64::MAX), record, by: MemberId(u64::MAX) };
+        let roster = RosterRef { version: u64::MAX, hash: u64::MAX };
+        let (from, life, view) = (MemberId(u64::MAX), Life(u64::MAX), ViewId(u64::MAX));
+        Packet {
+            header: Header { from, inc, life, roster, view },
+            body: Body::Support { view, at: u64::MAX },
+            updates: vec![update; UPDATES_MOST],
+        }
+    }
+
+    #[test]
+    fn the_largest_packet_fits_and_comes_back() {
+        let bytes = encode(&largest(), PACKET_MOST).expect("fits");
+        assert_eq!(decode::<Packet>(&bytes, PACKET_MOST), Ok(largest()));
+        // What a later version adds at the end is left unread.
+        let longer = [bytes.clone(), vec![1, 2, 3]].concat();
+        assert_eq!(decode::<Packet>(&longer, PACKET_MOST + 3), Ok(largest()));
+        let other = [b"yw\x02".as_slice(), &bytes[3..]].concat();
+        assert_eq!(decode::<Packet>(&other, PACKET_MOST), Err(CodecError::Version));
+        assert_eq!(decode::<Packet>(&bytes[..40], PACKET_MOST), Err(CodecError::Spoilt));
+    }
+
+    proptest! {
+        /// Any bytes behind the mark are read or refused, and take no room that they do not have.
+        #[test]
+        fn any_bytes_are_read_or_refused(bytes in proptest::collection::vec(any::<u8>(), 0..400)) {
+            let bytes = [MARK.as_slice(), &bytes].concat();
+            if let Ok(packet) = decode::<Packet>(&bytes, PACKET_MOST) {
+                prop_assert!(packet.updates.len() < 400);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,25 @@
+//! Drives [`yarrowhill_membership`] with sockets, files and clocks, and tells operators who is there. It decides
+//! nothing: what a process may do is read from [`Handle::permits`], at the last step before it is done.
+//!
+//! - `document`: the fleet's document, in KDL
+//! - `clock`: the clock that counts stops
+//! - `identity`: the boot number in the folder
+//! - `codec`: packets as bytes
+//! - `node`: the task with the sockets
+//! - `status`, `control`: what is told, and the Unix socket where it is asked for
+
+mod clock;
+mod codec;
+mod control;
+mod document;
+mod identity;
+mod node;
+mod status;
+
+pub use clock::now;
+pub use codec::{CodecError, PACKET_MOST, WHOLE_MOST, decode, encode};
+pub use control::{ControlError, ask, serve};
+pub use document::{Document, Fault, read};
+pub use identity::{IdentityError, IdentityFile};
+pub use node::{FleetError, Handle, Node, Options};
+pub use status::{MemberStatus, Status};
--- /dev/null
+++ b/crates/fleet/src/node.rs
@@ -0,0 +1,377 @@
+//! The task with the sockets: UDP for packets, TCP for whole views.
+
+use crate::clock;
+use crate::codec::{PACKET_MOST, WHOLE_MOST, decode, encode};
+use crate::document::Document;
+use crate::identity::{IdentityError, IdentityFile};
+use crate::status::Status;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::sync::{Notify, Semaphore, watch};
+use tokio::time::{sleep, timeout};
+use yarrowhill_membership::{
+    Event, Life, MemberId, Membership, Micros, Output, Packet, Permits, Roster, RosterError, Whole,
+};
+
+/// Packets that are taken in before other tasks of the process have their turn.
+const PACKETS_A_TURN: usize = 64;
+/// An exchange of whole views takes no longer.
+const EXCHANGE: Duration = Duration::from_secs(2);
+/// Exchanges at once that others began; further ones are closed unread.
+const EXCHANGES_MOST: usize = 4;
+/// After a failure of a socket or of the disk.
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// Why a forwarder can't be a member.
+#[derive(Debug, thiserror::Error)]
+pub enum FleetError {
+    /// The folder does not take the boot number.
+    #[error(transparent)]
+    Identity(#[from] IdentityError),
+    /// A socket can't be had.
+    #[error("{0}: {1}")]
+    Socket(SocketAddr, #[source] io::Error),
+    /// The roster is not for this one, or does not follow.
+    #[error(transparent)]
+    Roster(#[from] RosterError),
+    /// No chance is to be had.
+    #[error("no random number: {0}")]
+    Chance(String),
+}
+
+/// What a member is started with.
+#[derive(Debug)]
+pub struct Options<'a> {
+    /// Its name.
+    pub name: &'a str,
+    /// The fleet's document.
+    pub document: Document,
+    /// The folder that outlasts the process.
+    pub state: &'a Path,
+    /// For random numbers.
+    pub seed: u64,
+}
+
+struct Shared {
+    core: Mutex<Membership>,
+    addresses: Mutex<BTreeMap<MemberId, SocketAddr>>,
+    /// Something is to be sent, or a timer has changed.
+    stir: Notify,
+    senders: watch::Sender<usize>,
+    spoilt: AtomicU64,
+    strangers: AtomicU64,
+}
+
+/// What the rest of the process asks a member.
+#[derive(Clone)]
+pub struct Handle(Arc<Shared>);
+
+impl Handle {
+    fn core(&self) -> MutexGuard<'_, Membership> {
+        self.0.core.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// What this process may do now, by the clock as it is read here: to be asked at the last step before a byte
+    /// leaves. A process that was stopped since it last listened gets the answer of one that knows nothing.
+    pub fn permits(&self) -> Permits {
+        self.core().permits(clock::now())
+    }
+
+    /// What is told to operators.
+    pub fn status(&self) -> Status {
+        let dropped = [self.0.spoilt.load(Ordering::Relaxed), self.0.strangers.load(Ordering::Relaxed)];
+        Status::of(&self.core(), clock::now(), dropped)
+    }
+
+    /// Among how many what all share is divided, now and at each change.
+    pub fn senders(&self) -> watch::Receiver<usize> {
+        self.0.senders.subscribe()
+    }
+
+    /// Another document: another roster that follows, or the same one with other addresses.
+    ///
+    /// # Errors
+    ///
+    /// The roster does not follow.
+    pub fn change(&self, document: Document) -> Result<(), RosterError> {
+        let mut core = self.core();
+        if document.roster.reference() != core.roster().reference() {
+            core.change_roster(clock::now(), document.roster)?;
+        }
+        *self.0.addresses.lock().unwrap_or_else(PoisonError::into_inner) = document.addresses;
+        self.0.stir.notify_one();
+        Ok(())
+    }
+
+    /// The process is to end: the others hear it from itself.
+    pub fn leave(&self) {
+        self.core().leave(clock::now());
+        self.0.stir.notify_one();
+    }
+
+    /// The roster in force.
+    pub fn roster(&self) -> Roster {
+        self.core().roster().clone()
+    }
+
+    fn address(&self, id: MemberId) -> Option<SocketAddr> {
+        self.0.addresses.lock().unwrap_or_else(PoisonError::into_inner).get(&id).copied()
+    }
+
+    fn known(&self, from: SocketAddr) -> Option<MemberId> {
+        let addresses = self.0.addresses.lock().unwrap_or_else(PoisonError::into_inner);
+        addresses.iter().find(|(_, a)| **a == from).map(|(id, _)| *id)
+    }
+
+    fn known_host(&self, from: SocketAddr) -> bool {
+        let addresses = self.0.addresses.lock().unwrap_or_else(PoisonError::into_inner);
+        addresses.values().any(|a| a.ip() == from.ip())
+    }
+}
+
+/// A member with its sockets.
+pub struct Node {
+    handle: Handle,
+    udp: UdpSocket,
+    tcp: TcpListener,
+    identity: IdentityFile,
+    /// A boot that the disk has not taken yet, and when it is tried again.
+    owed: Option<(u64, Micros)>,
+}
+
+impl Node {
+    /// Binds the sockets and counts the boot; speaks only once it runs.
+    ///
+    /// # Errors
+    ///
+    /// The sockets or the folder can't be had, or the roster lacks this member.
+    pub async fn start(options: Options<'_>) -> Result<Self, FleetError> {
+        let Options { name, document, state, seed } = options;
+        let Document { roster, listen, addresses, timing } = document;
+        let failed = |e| FleetError::Socket(listen, e);
+        let udp = UdpSocket::bind(listen).await.map_err(failed)?;
+        let tcp = TcpListener::bind(listen).await.map_err(failed)?;
+        let (identity, boot) = IdentityFile::start(state, name)?;
+        // By the machine's chance, not by the seed: two processes under one name may have been told the same.
+        let life = Life(getrandom::u64().map_err(|e| FleetError::Chance(e.to_string()))?);
+        let senders = watch::Sender::new(roster.len());
+        let core = Membership::new(clock::now(), roster, name, boot, life, timing, seed)?;
+        let handle = Handle(Arc::new(Shared {
+            core: Mutex::new(core),
+            addresses: Mutex::new(addresses),
+            stir: Notify::new(),
+            senders,
+            spoilt: AtomicU64::new(0),
+            strangers: AtomicU64::new(0),
+        }));
+        Ok(Node { handle, udp, tcp, identity, owed: None })
+    }
+
+    /// For the rest of the process.
+    pub fn handle(&self) -> Handle {
+        self.handle.clone()
+    }
+
+    /// Takes part until the task is dropped.
+    pub async fn run(mut self) {
+        let room = Arc::new(Semaphore::new(EXCHANGES_MOST));
+        // Some room more than a packet may have: longer ones are seen to be longer.
+        let mut buffer = [0u8; PACKET_MOST + 8];
+        loop {
+            self.carry_out().await;
+            let wake = self.handle.core().next_wake();
+            let wake = wake.min(self.owed.map_or(Micros::MAX, |(_, at)| at));
+            let pause = Duration::from_micros(wake.saturating_sub(clock::now()));
+            tokio::select! {
+                got = self.udp.recv_from(&mut buffer) => {
+                    match got {
+                        Ok((length, from)) => self.datagram(&buffer[..length], from),
+                        // A peer that is gone shows here as refused; anything worse must not spin.
+                        Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => {}
+                        Err(e) => {
+                            tracing::warn!("fleet: {e}");
+                            sleep(PAUSE).await;
+                        }
+                    }
+                    for _ in 1..PACKETS_A_TURN {
+                        let Ok((length, from)) = self.udp.try_recv_from(&mut buffer) else { break };
+                        self.datagram(&buffer[..length], from);
+                    }
+                    if self.handle.core().next_wake() <= clock::now() {
+                        self.handle.core().tick(clock::now());
+                    }
+                }
+                got = self.tcp.accept() => match got {
+                    Ok((stream, from)) => self.exchange_asked(stream, from, &room),
+                    Err(e) => {
+                        tracing::warn!("fleet: {e}");
+                        sleep(PAUSE).await;
+                    }
+                },
+                () = self.handle.0.stir.notified() => {}
+                () = sleep(pause) => self.handle.core().tick(clock::now()),
+            }
+        }
+    }
+
+    fn datagram(&self, bytes: &[u8], from: SocketAddr) {
+        // Before anything is read: a stranger costs one look.
+        let Some(id) = self.handle.known(from) else {
+            self.handle.0.strangers.fetch_add(1, Ordering::Relaxed);
+            return;
+        };
+        match decode::<Packet>(bytes, PACKET_MOST) {
+            Ok(packet) if packet.header.from == id => self.handle.core().handle(clock::now(), packet),
+            Ok(_) => drop(self.handle.0.strangers.fetch_add(1, Ordering::Relaxed)),
+            Err(_) => drop(self.handle.0.spoilt.fetch_add(1, Ordering::Relaxed)),
+        }
+    }
+
+    /// Does what the core wants done.
+    async fn carry_out(&mut self) {
+        if let Some((boot, at)) = self.owed
+            && clock::now() >= at
+        {
+            self.persist(boot);
+        }
+        loop {
+            let outputs = self.handle.core().outputs();
+            if outputs.is_empty() {
+                break;
+            }
+            for output in outputs {
+                match output {
+                    Output::Send { to, packet } => self.send(to, &packet).await,
+                    Output::Sync { with } => self.exchange(with),
+                    Output::Persist { boot } => self.persist(boot),
+                    Output::Event(event) => tell(&self.handle, &event),
+                }
+            }
+        }
+        let senders = self.handle.core().senders(clock::now());
+        self.handle.0.senders.send_if_modified(|s| std::mem::replace(s, senders) != senders);
+    }
+
+    async fn send(&self, to: MemberId, packet: &Packet) {
+        let Some(at) = self.handle.address(to) else { return };
+        match encode(packet, PACKET_MOST) {
+            // What the network does not take is lost, as on the way.
+            Ok(bytes) => drop(self.udp.send_to(&bytes, at).await),
+            Err(e) => tracing::error!("fleet: a packet: {e}"),
+        }
+    }
+
+    fn persist(&mut self, boot: u64) {
+        match self.identity.write(boot) {
+            Ok(()) => {
+                self.owed = None;
+                tracing::info!(boot, "fleet: an earlier word of this name was newer; counted up");
+                self.handle.core().persisted(clock::now(), boot);
+            }
+            Err(e) => {
+                if self.owed.is_none() {
+                    tracing::error!("fleet: silent until the boot number is on disk: {e}");
+                }
+                self.owed = Some((boot, clock::now() + PAUSE.as_micros() as Micros));
+            }
+        }
+    }
+
+    /// Exchanges whole views with a member, beside everything else.
+    fn exchange(&self, with: MemberId) {
+        let Some(at) = self.handle.address(with) else { return };
+        let handle = self.handle.clone();
+        tokio::spawn(async move {
+            let exchange = async {
+                let mut stream = TcpStream::connect(at).await?;
+                let own = handle.core().whole();
+                write_whole(&mut stream, &own).await?;
+                read_whole(&mut stream).await
+            };
+            if let Ok(Ok(whole)) = timeout(EXCHANGE, exchange).await
+                && whole.header.from == with
+            {
+                handle.core().take_whole(clock::now(), whole);
+                handle.0.stir.notify_one();
+            }
+        });
+    }
+
+    fn exchange_asked(&self, mut stream: TcpStream, from: SocketAddr, room: &Arc<Semaphore>) {
+        let place = room.clone().try_acquire_owned();
+        let (true, Ok(place)) = (self.handle.known_host(from), place) else {
+            self.handle.0.strangers.fetch_add(1, Ordering::Relaxed);
+            return;
+        };
+        let handle = self.handle.clone();
+        tokio::spawn(async move {
+            let _place = place;
+            let exchange = async {
+                let whole = read_whole(&mut stream).await?;
+                let own = {
+                    let mut core = handle.core();
+                    if !core.take_whole(clock::now(), whole) {
+                        return Err(io::ErrorKind::PermissionDenied.into());
+                    }
+                    core.whole()
+                };
+                handle.0.stir.notify_one();
+                write_whole(&mut stream, &own).await
+            };
+            let _ = timeout(EXCHANGE, exchange).await;
+        });
+    }
+}
+
+async fn write_whole(stream: &mut TcpStream, whole: &Whole) -> io::Result<()> {
+    let bytes = encode(whole, WHOLE_MOST).map_err(io::Error::other)?;
+    let length = u32::try_from(bytes.len()).map_err(io::Error::other)?;
+    stream.write_all(&[&length.to_be_bytes()[..], &bytes].concat()).await
+}
+
+async fn read_whole(stream: &mut TcpStream) -> io::Result<Whole> {
+    let length = stream.read_u32().await? as usize;
+    if length > WHOLE_MOST {
+        return Err(io::ErrorKind::InvalidData.into());
+    }
+    let mut bytes = Vec::new();
+    // Grows as bytes come: a length alone takes no room.
+    stream.take(length as u64).read_to_end(&mut bytes).await?;
+    decode(&bytes, WHOLE_MOST).map_err(io::Error::other)
+}
+
+/// One line for each stable change.
+fn tell(handle: &Handle, event: &Event) {
+    let roster = handle.roster();
+    let name = |id: &MemberId| roster.name(*id).unwrap_or("?").to_owned();
+    match event {
+        Event::View(view) => {
+            let there: Vec<String> = view.members.keys().map(name).collect();
+            let missing: Vec<String> = roster
+                .members()
+                .map(|(id, _)| id)
+                .filter(|id| !view.members.contains_key(id))
+                .map(|id| name(&id))
+                .collect();
+            tracing::info!(view = %view.id, there = there.len(), ?missing, "fleet: view");
+        }
+        Event::Standing { from, to } => tracing::info!(%from, %to, "fleet: standing"),
+        Event::Disagrees { with, theirs } => {
+            let mine = roster.reference();
+            tracing::warn!(
+                with = name(with),
+                theirs = format!("{}:{:016x}", theirs.version, theirs.hash),
+                mine = format!("{}:{:016x}", mine.version, mine.hash),
+                "fleet: another roster"
+            );
+        }
+        Event::Woke(late) => tracing::warn!(ms = late / 1000, "fleet: was stopped"),
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/status.rs
@@ -0,0 +1,117 @@
+//! What a forwarder tells of its fleet.
+
+use serde::{Deserialize, Serialize};
+use yarrowhill_membership::{Health, MemberId, Membership, Micros, Permits, Refused, Standing};
+
+/// A member as this forwarder knows it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct MemberStatus {
+    /// Its name.
+    pub name: String,
+    /// Its zone.
+    pub zone: String,
+    /// Whether its support counts.
+    pub votes: bool,
+    /// Boot and round of the word that counts.
+    pub incarnation: String,
+    /// How it stands.
+    pub state: Health,
+    /// For how long it has stood so here (ms).
+    pub since_ms: u64,
+    /// How long ago a packet of its own came (ms); none ever.
+    pub heard_ms: Option<u64>,
+    /// Who told the word that counts.
+    pub by: Option<String>,
+    /// How much longer its support for this forwarder's view holds (ms).
+    pub support_ms: u64,
+    /// Whether it is in the stable view.
+    pub in_view: bool,
+    /// It goes by another roster than this forwarder: version and hash.
+    pub other_roster: Option<String>,
+}
+
+/// What a forwarder tells of its fleet, at one moment.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Status {
+    /// The form of this record.
+    pub version: u32,
+    /// When (microseconds of `CLOCK_BOOTTIME`: comparable between processes of one machine alone).
+    pub at: Micros,
+    /// Until when the standing holds if nothing more is heard.
+    pub until: Micros,
+    /// The forwarder's name.
+    pub name: String,
+    /// Its boot and round.
+    pub incarnation: String,
+    /// How it stands.
+    pub standing: Standing,
+    /// What follows.
+    pub permits: Permits,
+    /// Its stable view.
+    pub view: String,
+    /// Members in it.
+    pub there: usize,
+    /// Members in the roster.
+    pub roster: usize,
+    /// The roster's version and hash.
+    pub roster_version: String,
+    /// Among how many what all share is divided.
+    pub senders: usize,
+    /// The members, itself too.
+    pub members: Vec<MemberStatus>,
+    /// What came and was not believed: packets of strangers, impossible words, support that was not asked for,
+    pub refused: [u64; 3],
+    /// bytes that are no packet, and packets from addresses that are no member's.
+    pub dropped: [u64; 2],
+}
+
+impl Status {
+    /// What a member knows at a moment. `dropped` counts what never reached it.
+    pub fn of(core: &Membership, now: Micros, dropped: [u64; 2]) -> Self {
+        let roster = core.roster();
+        let name = |id: MemberId| roster.name(id).unwrap_or("?").to_owned();
+        let ago = |at: Micros| now.saturating_sub(at) / 1000;
+        let mine = roster.reference();
+        let voters: Vec<MemberId> = roster.voters().collect();
+        let mut members: Vec<MemberStatus> = roster
+            .members()
+            .map(|(id, seat)| {
+                let entry = core.members().find(|(other, _)| *other == id).map(|(_, e)| e);
+                let record = entry.map_or(core.record(), |e| e.record);
+                let other = entry.and_then(|e| e.roster).filter(|r| *r != mine);
+                MemberStatus {
+                    name: seat.name.clone(),
+                    zone: seat.zone.clone(),
+                    votes: voters.contains(&id),
+                    incarnation: record.inc.to_string(),
+                    state: record.health,
+                    since_ms: entry.map_or(0, |e| ago(e.since)),
+                    heard_ms: entry.map_or(Some(0), |e| e.heard.map(ago)),
+                    by: entry.and_then(|e| e.by).map(name),
+                    support_ms: core.support_until(id).saturating_sub(now) / 1000,
+                    in_view: core.view().members.contains_key(&id),
+                    other_roster: other.map(|r| format!("{}:{:016x}", r.version, r.hash)),
+                }
+            })
+            .collect();
+        members.sort_by(|a, b| a.name.cmp(&b.name));
+        let Refused { strangers, words, support } = core.refused();
+        Status {
+            version: 1,
+            at: now,
+            until: core.standing_until(),
+            name: name(core.me()),
+            incarnation: core.record().inc.to_string(),
+            standing: core.standing(now),
+            permits: core.permits(now),
+            view: core.view().id.to_string(),
+            there: core.view().members.len(),
+            roster: roster.len(),
+            roster_version: format!("{}:{:016x}", mine.version, mine.hash),
+            senders: core.senders(now),
+            members,
+            refused: [strangers, words, support],
+            dropped,
+        }
+    }
+}
--- a/crates/fuzz/src/target.rs
+++ b/crates/fuzz/src/target.rs
@@ -14,7 +14,9 @@
 use tokio::time::{Instant, timeout};
 use yarrowhill::Config;
 use yarrowhill_engine::{Answer, Call, Input, Item, Phase, Transport};
+use yarrowhill_fleet::{PACKET_MOST, WHOLE_MOST, decode, encode};
 use yarrowhill_http::{Intake, Pool, serve};
+use yarrowhill_membership::{Life, Membership, Output, Packet, Roster, Seat, Timing, Whole};
 use yarrowhill_standins::{Class, Figures, Room, configuration};
 
 /// Longer than anything that peers can make the program wait for.
@@ -37,11 +39,13 @@
     },
     /// An endpoint's answer, over loopback.
     Answers(AtomicU64),
+    /// What another forwarder says, as a packet and as a whole view.
+    Packets,
 }
 
 impl Target {
     /// Their names, and those of their corpora's folders.
-    pub const NAMES: [&str; 4] = ["journal", "config", "heads", "answers"];
+    pub const NAMES: [&str; 5] = ["journal", "config", "heads", "answers", "packets"];
 
     /// The one of that name.
     ///
@@ -54,6 +58,7 @@
             "config" => Ok(Target::Config),
             "heads" => heads().await,
             "answers" => Ok(Target::Answers(AtomicU64::new(0))),
+            "packets" => Ok(Target::Packets),
             _ => Err(io::Error::other(format!("no target {name}"))),
         }
     }
@@ -71,6 +76,7 @@
                 ask(*to, input).await;
                 assert!(!serving.is_finished(), "the intake has ended");
             }
+            Target::Packets => packets(input),
             Target::Answers(calls) => call(calls.fetch_add(1, Ordering::Relaxed), input).await,
         }
     }
@@ -166,3 +172,29 @@
     }
     endpoint.abort();
 }
+
+/// A member that hears it, and goes on.
+fn packets(input: &[u8]) {
+    let seat = |name: &str| Seat { name: name.to_owned(), zone: String::new(), votes: None };
+    let roster = Roster::new(1, ["n0", "n1", "n2"].map(seat).to_vec()).expect("a roster");
+    let mut member =
+        Membership::new(0, roster, "n0", 1, Life(1), Timing::of(1000), 1).expect("it is a member");
+    if let Ok(packet) = decode::<Packet>(input, PACKET_MOST) {
+        // Said twice, since much is answered the first time alone.
+        member.handle(1, packet.clone());
+        member.handle(2, packet);
+    }
+    if let Ok(whole) = decode::<Whole>(input, WHOLE_MOST) {
+        member.take_whole(3, whole);
+    }
+    (0..20).for_each(|n| member.tick(n * 500));
+    let outputs = member.outputs();
+    assert!(outputs.len() < 1000, "{} things to do after one packet", outputs.len());
+    for output in outputs {
+        if let Output::Send { packet, .. } = output {
+            assert!(encode(&packet, PACKET_MOST).is_ok(), "a packet that is too long");
+        }
+    }
+    // Nobody can take it to where it is not heard any more, and nobody comes who is not in the roster.
+    assert!(member.record().inc.is_sound() && member.view().members.len() <= 3);
+}
--- a/crates/http/src/calls.rs
+++ b/crates/http/src/calls.rs
@@ -1,6 +1,7 @@
 //! Calls to endpoints: one connection carries one call at a time, and each message in it gets its outcome.
 
 use crate::connection::{self, Broken, Connection};
+use crate::pool::Gated;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
@@ -29,6 +30,7 @@
     mut call: Call,
     mut connection: Option<Connection>,
     results: Sender<Input>,
+    gate: Gated,
     keep: impl FnOnce(Connection),
 ) {
     let waiting = std::mem::take(&mut call.items);
@@ -47,7 +49,8 @@
         }
         // However it came to be that late.
         pending.expire(Stage::Connecting, Instant::now());
-        let request = request(&pending.waiting, pending.call.to);
+        // The last look before a byte leaves: the process may have been stopped since this was decided.
+        let request = request(&pending.waiting, pending.call.to).filter(|_| gate.may_send());
         let (Some(request), Some(open)) = (request, &mut connection) else {
             // Whatever happens, the module hears of each attempt: one that never ends holds its slot for ever.
             pending.part(Outcome::NotSent, |_| true);
--- a/crates/http/src/intake.rs
+++ b/crates/http/src/intake.rs
@@ -1,6 +1,7 @@
 //! Takes messages from clients: reads requests, hands them to the engine, and gives its answers.
 
 use crate::heads::Heads;
+use crate::pool::Gated;
 use crate::watched::{Watch, Watched};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -53,6 +54,7 @@
     phase: watch::Receiver<Phase>,
     /// KiB that bodies may take until the engine has them.
     bodies: Semaphore,
+    gate: Gated,
 }
 
 /// Serves clients, at most `most` connections at a time, until all is shut and the last has its answer.
@@ -224,7 +226,16 @@
         phase: watch::Receiver<Phase>,
         bodies: usize,
     ) -> Self {
-        Intake { names, settings, engines: engines.into(), phase, bodies: Semaphore::new(bodies) }
+        let (engines, bodies) = (engines.into(), Semaphore::new(bodies));
+        Intake { names, settings, engines, phase, bodies, gate: Gated::default() }
+    }
+
+    /// The same with a gate that is looked at before each message and at each question whether it is ready.
+    #[cfg(feature = "gate")]
+    #[must_use]
+    pub fn with_gate(mut self, gate: Option<Arc<dyn yarrowhill_engine::Gate>>) -> Self {
+        self.gate = Gated::new(gate);
+        self
     }
 
     async fn answer(&self, request: Request<Incoming>, ambiguous: bool) -> Reply {
@@ -232,7 +243,8 @@
             _ if ambiguous => status(StatusCode::BAD_REQUEST),
             // Messages come with their length; without chunks, where a body ends is never in doubt.
             _ if request.headers().contains_key(TRANSFER_ENCODING) => status(StatusCode::LENGTH_REQUIRED),
-            (&Method::GET, "/-/ready") => status(StatusCode::OK),
+            (&Method::GET, "/-/ready") if self.gate.is_ready() => status(StatusCode::OK),
+            (&Method::GET, "/-/ready") => status(StatusCode::SERVICE_UNAVAILABLE),
             (&Method::POST, path) if path.len() > 1 => match self.hand_in(request).await {
                 Ok(answer) => reply(answer),
                 Err(code) => status(code),
@@ -263,6 +275,9 @@
             return Ok(Answer::Refused(Some(AGAIN)));
         };
         let body = read_body(body).await?;
+        if !self.gate.may_take_on() {
+            return Ok(Answer::Refused(Some(AGAIN)));
+        }
         let (answer, answered) = oneshot::channel();
         let message = Submission {
             id: head.id,
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -25,6 +25,48 @@
 pub struct Pool {
     shared: Arc<Mutex<Shared>>,
     idle_limit: Duration,
+    gate: Gated,
+}
+
+/// The gate, in builds that have one.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Gated {
+    #[cfg(feature = "gate")]
+    gate: Option<Arc<dyn yarrowhill_engine::Gate>>,
+}
+
+#[cfg(feature = "gate")]
+impl Gated {
+    pub(crate) fn new(gate: Option<Arc<dyn yarrowhill_engine::Gate>>) -> Self {
+        Gated { gate }
+    }
+
+    pub(crate) fn may_send(&self) -> bool {
+        self.gate.as_ref().is_none_or(|gate| gate.may_send())
+    }
+
+    pub(crate) fn may_take_on(&self) -> bool {
+        self.gate.as_ref().is_none_or(|gate| gate.may_take_on())
+    }
+
+    pub(crate) fn is_ready(&self) -> bool {
+        self.gate.as_ref().is_none_or(|gate| gate.is_ready())
+    }
+}
+
+#[cfg(not(feature = "gate"))]
+impl Gated {
+    pub(crate) const fn may_send(&self) -> bool {
+        true
+    }
+
+    pub(crate) const fn may_take_on(&self) -> bool {
+        true
+    }
+
+    pub(crate) const fn is_ready(&self) -> bool {
+        true
+    }
 }
 
 #[derive(Debug)]
@@ -46,7 +88,16 @@
     /// Keeps at most `idle_most` idle connections, each for a little less than the peers' `idle_close`.
     pub fn new(idle_most: usize, idle_close: Duration) -> Self {
         let shared = Shared { endpoints: HashMap::new(), idle: 0, idle_most };
-        Pool { shared: Arc::new(Mutex::new(shared)), idle_limit: idle_close - idle_close / IDLE_MARGIN }
+        let idle_limit = idle_close - idle_close / IDLE_MARGIN;
+        Pool { shared: Arc::new(Mutex::new(shared)), idle_limit, gate: Gated::default() }
+    }
+
+    /// The same with a gate that is looked at just before the first byte of each call.
+    #[cfg(feature = "gate")]
+    #[must_use]
+    pub fn with_gate(mut self, gate: Option<Arc<dyn yarrowhill_engine::Gate>>) -> Self {
+        self.gate = Gated::new(gate);
+        self
     }
 
     fn lock(&self) -> MutexGuard<'_, Shared> {
@@ -83,7 +134,7 @@
         let (endpoint, to) = (call.endpoint, call.to);
         let idle = self.lock().take(endpoint, to);
         let shared = self.shared.clone();
-        tokio::spawn(calls::make(call, idle, results, move |connection| {
+        tokio::spawn(calls::make(call, idle, results, self.gate.clone(), move |connection| {
             lock(&shared).keep(endpoint, to, connection);
         }));
     }
--- /dev/null
+++ b/crates/membership/src/core.rs
@@ -0,0 +1,627 @@
+//! One member: packets and time come in, packets, timers and events go out.
+
+use crate::detector::{Ask, Detector};
+use crate::id::{Life, MemberId, Micros};
+use crate::identity::{Identity, OwnNews};
+use crate::members::{Entry, Learnt, Members};
+use crate::packet::{Body, Header, Packet, UPDATES_MOST, Update, Whole};
+use crate::record::{Health, Record};
+use crate::roster::{Roster, RosterError, RosterRef};
+use crate::standing::{Evidence, Permits, Share, Standing, permits, standing};
+use crate::support::{Lease, Support, Voter};
+use crate::view::{Settler, View};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Of those that leave, so many are told at once; the rest hear it from them.
+const FAREWELLS: usize = 16;
+/// Members that are missing are tried at each period, so many: what was cut in two finds itself again.
+const KNOCKS: usize = 2;
+
+/// Spans of the protocol (microseconds).
+#[derive(Clone, Copy, Debug)]
+pub struct Timing {
+    /// Between two probes. All else follows from it unless it is set.
+    pub period: Micros,
+    /// Between two exchanges of all that is known.
+    pub sync: Micros,
+    /// What is heard must be the same for so long before it becomes the view,
+    pub settle: Micros,
+    /// or differ from it for this long.
+    pub settle_most: Micros,
+    /// How long support for a view holds.
+    pub lease: Micros,
+    /// Clock rates are right within this part of 1.
+    pub drift: f64,
+    /// Another life under the own name is held to be gone after this silence.
+    pub forget: Micros,
+    /// Whether support is asked for all the time. Where it is not, nobody is ever more than unsettled.
+    pub confirm: bool,
+}
+
+impl Timing {
+    /// What follows from a probe period: the lease is long enough for two lost packets in a row.
+    pub fn of(period: Micros) -> Self {
+        Timing {
+            period,
+            sync: period * 10,
+            settle: period * 2,
+            settle_most: period * 10,
+            lease: period * 3,
+            drift: 0.01,
+            forget: period * 50,
+            confirm: true,
+        }
+    }
+}
+
+/// What the host is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// Send a packet.
+    Send {
+        /// To whom.
+        to: MemberId,
+        /// What.
+        packet: Packet,
+    },
+    /// Exchange [`Membership::whole`] with a member.
+    Sync {
+        /// With whom.
+        with: MemberId,
+    },
+    /// Write this boot number to the folder and call [`Membership::persisted`]; nothing is said before.
+    Persist {
+        /// The boot.
+        boot: u64,
+    },
+    /// For whoever wants to know.
+    Event(Event),
+}
+
+/// What has changed for good, not each rumour.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// Another stable view.
+    View(View),
+    /// Another standing.
+    Standing {
+        /// Before.
+        from: Standing,
+        /// Now.
+        to: Standing,
+    },
+    /// A member goes by another roster.
+    Disagrees {
+        /// Which.
+        with: MemberId,
+        /// Its roster.
+        theirs: RosterRef,
+    },
+    /// This process was stopped for so long (microseconds).
+    Woke(Micros),
+}
+
+/// What was refused, by reason: told to operators.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Refused {
+    /// Packets of nobody of the roster, or of oneself.
+    pub strangers: u64,
+    /// Words that cannot be true, or about nobody of the roster.
+    pub words: u64,
+    /// Support that was not asked for, or of an earlier boot.
+    pub support: u64,
+}
+
+/// One member of a fleet.
+#[derive(Clone, Debug)]
+pub struct Membership {
+    timing: Timing,
+    lease: Lease,
+    roster: Roster,
+    me: MemberId,
+    identity: Identity,
+    members: Members,
+    detector: Detector,
+    settler: Settler,
+    voter: Voter,
+    support: Support,
+    rng: ChaCha8Rng,
+    /// When it last looked at anything, and when it meant to look again.
+    seen: Micros,
+    due: Micros,
+    /// Not sure of itself: until an answer to a probe after this number, or until this moment.
+    unsure: Option<(u64, Micros)>,
+    next_knock: Micros,
+    next_sync: Micros,
+    next_ask: Micros,
+    told: Standing,
+    refused: Refused,
+    outputs: Vec<Output>,
+}
+
+impl Membership {
+    /// The member `me` of a roster, under a boot number that stands in its folder.
+    ///
+    /// # Errors
+    ///
+    /// It is not in the roster.
+    pub fn new(
+        now: Micros,
+        roster: Roster,
+        me: &str,
+        boot: u64,
+        life: Life,
+        timing: Timing,
+        seed: u64,
+    ) -> Result<Self, RosterError> {
+        let id = MemberId::of(me);
+        if !roster.has(id) {
+            return Err(RosterError::NotMe(me.to_owned()));
+        }
+        let lease = Lease::new(timing.lease, timing.drift);
+        let view = View::new(roster.reference(), [(id, boot)].into());
+        let mut support = Support::default();
+        support.view(view.id);
+        let identity = Identity::new(boot, life);
+        let mut members = Members::new(&roster, id, timing.period);
+        members.announce(Update { about: id, record: identity.record(), by: id });
+        let alone = roster.len() == 1;
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        // Not all that start at once ask at once.
+        let first = now + rng.random_range(0..timing.period.max(1)) / 4;
+        Ok(Membership {
+            lease,
+            me: id,
+            identity,
+            members,
+            detector: Detector::new(timing.period, first),
+            settler: Settler::new(now, timing.settle, timing.settle_most, view),
+            voter: Voter::new(now, lease),
+            support,
+            rng,
+            seen: now,
+            due: now,
+            unsure: (!alone).then_some((u64::MAX, now + timing.settle_most)),
+            next_knock: first,
+            next_sync: first,
+            next_ask: now,
+            told: Standing::NotYetKnown,
+            refused: Refused::default(),
+            outputs: Vec::new(),
+            timing,
+            roster,
+        })
+    }
+
+    // ---- What it knows ----
+
+    /// Its id.
+    pub fn me(&self) -> MemberId {
+        self.me
+    }
+
+    /// Its roster.
+    pub fn roster(&self) -> &Roster {
+        &self.roster
+    }
+
+    /// Its stable view.
+    pub fn view(&self) -> &View {
+        self.settler.view()
+    }
+
+    /// What it says of itself.
+    pub fn record(&self) -> Record {
+        self.identity.record()
+    }
+
+    /// What it knows of the others.
+    pub fn members(&self) -> impl Iterator<Item = (MemberId, &Entry)> {
+        self.members.iter()
+    }
+
+    /// What was refused.
+    pub fn refused(&self) -> Refused {
+        self.refused
+    }
+
+    /// What a voter's support is worth: until when it holds.
+    pub fn support_until(&self, voter: MemberId) -> Micros {
+        self.support.until(voter)
+    }
+
+    /// How it stands at a moment. To be asked at the last step before an act, with the clock read then: a process
+    /// that was stopped between two looks has no support left, and is not sure of itself.
+    pub fn standing(&self, now: Micros) -> Standing {
+        standing(&self.evidence(now))
+    }
+
+    /// What it may do at a moment.
+    pub fn permits(&self, now: Micros) -> Permits {
+        permits(self.standing(now))
+    }
+
+    /// Until when its standing holds if nothing more is heard: whoever copies the standing copies this moment too.
+    pub fn standing_until(&self) -> Micros {
+        let stale = self.stale_at();
+        let mut ends: Vec<Micros> = self.roster.voters().map(|id| self.support.until(id)).collect();
+        ends.sort_unstable();
+        // The standing falls with the first end by which no majority is left.
+        let falls = ends.into_iter().find(|at| !self.roster.is_majority(|id| self.support.holds(*at, id)));
+        let supported = self.roster.is_majority(|id| self.support.holds(self.seen, id));
+        if supported { falls.unwrap_or(stale).min(stale) } else { stale }
+    }
+
+    fn stale_at(&self) -> Micros {
+        self.due.max(self.seen).saturating_add(self.timing.period)
+    }
+
+    fn evidence(&self, now: Micros) -> Evidence {
+        let members = &self.settler.view().members;
+        Evidence {
+            known: self.unsure.is_none() && now < self.stale_at() && !self.identity.is_mute(),
+            leaving: self.identity.is_leaving(),
+            doubled: self.identity.is_doubled(now, self.timing.forget),
+            there: members.len(),
+            roster: self.roster.len(),
+            majority: self.roster.is_majority(|id| members.contains_key(&id)),
+            supported: self.roster.is_majority(|id| self.support.holds(now, id)),
+        }
+    }
+
+    /// Senders among whom what all share is to be divided, this one counted: grows as soon as somebody is heard, and
+    /// falls with the stable view alone. So the rest shrink before one that returns takes its part.
+    pub fn senders(&self, now: Micros) -> usize {
+        match self.permits(now).share {
+            Share::View => self.view().members.len().max(self.members.there().len() + 1),
+            Share::Roster | Share::Nothing => self.roster.len(),
+        }
+    }
+
+    /// When [`Membership::tick`] is to be called, unless something comes before.
+    pub fn next_wake(&self) -> Micros {
+        let ends = self.members.next_end().unwrap_or(Micros::MAX);
+        let settles = self.settler.next_look(self.members.suspects()).unwrap_or(Micros::MAX);
+        let sure = self.unsure.map_or(Micros::MAX, |(_, until)| until);
+        let asks = if self.timing.confirm { self.next_ask } else { Micros::MAX };
+        let own = self.next_knock.min(self.next_sync).min(asks);
+        let probes = if self.identity.is_mute() { Micros::MAX } else { self.detector.next_look() };
+        probes.min(ends).min(settles).min(sure).min(own).max(self.seen + 1)
+    }
+
+    /// What the host is to do by now.
+    pub fn outputs(&mut self) -> Vec<Output> {
+        std::mem::take(&mut self.outputs)
+    }
+
+    // ---- What comes in ----
+
+    /// Time has passed.
+    pub fn tick(&mut self, now: Micros) {
+        let now = self.look(now);
+        for dead in self.members.run_out(now, self.me) {
+            self.members.learn(now, dead);
+        }
+        let mut asks = Vec::new();
+        if !self.identity.is_mute() {
+            self.detector.tick(now, self.members.there(), &mut self.rng, &mut asks);
+        }
+        for ask in asks {
+            self.ask(now, ask);
+        }
+        if now >= self.next_knock {
+            self.next_knock = now + self.timing.period;
+            self.knock();
+        }
+        if now >= self.next_sync {
+            let spread = self.rng.random_range(0..self.timing.sync.max(2) / 2);
+            self.next_sync = now + self.timing.sync * 3 / 4 + spread;
+            self.sync();
+        }
+        if self.timing.confirm && now >= self.next_ask {
+            self.next_ask = now + self.timing.lease / 3;
+            self.ask_support(now);
+        }
+        self.settled(now);
+    }
+
+    /// A packet has come, from whoever its header names.
+    pub fn handle(&mut self, now: Micros, packet: Packet) {
+        let now = self.look(now);
+        let Packet { header, body, updates } = packet;
+        let from = header.from;
+        if !self.roster.has(from) || updates.len() > UPDATES_MOST {
+            self.refused.strangers += 1;
+            return;
+        }
+        if from == self.me {
+            // Another process under this name, or the network's echo of this one.
+            let record = Record { inc: header.inc, health: Health::Alive, life: header.life };
+            self.own_word(now, &record);
+            self.settled(now);
+            return;
+        }
+        self.speaks(now, &header);
+        updates.into_iter().for_each(|word| self.learn(now, word));
+        match body {
+            Body::Ping { seq } => self.send(from, Body::Ack { seq }),
+            Body::PingFor { seq, target } if target != self.me && self.roster.has(target) => {
+                if let Some(ask) = self.detector.ping_for(now, from, seq, target) {
+                    self.ask(now, ask);
+                }
+            }
+            Body::PingFor { .. } => self.refused.words += 1,
+            Body::Ack { seq } => {
+                if self.unsure.is_some_and(|(after, _)| seq > after) {
+                    self.unsure = None;
+                }
+                if let Some(ask) = self.detector.acked(seq) {
+                    self.ask(now, ask);
+                }
+            }
+            Body::Nack { seq } => self.detector.nacked(seq),
+            Body::Ask { at } => self.asked(now, &header, at),
+            Body::Support { view, at } => self.supported(now, &header, view, at),
+            Body::Words => {}
+        }
+        self.refute(from, &header, body);
+        self.settled(now);
+    }
+
+    /// All that it knows, for another member.
+    pub fn whole(&self) -> Whole {
+        let own = Update { about: self.me, record: self.identity.record(), by: self.me };
+        let updates = std::iter::once(own).chain(self.members.all_words()).collect();
+        Whole { header: self.header(), updates }
+    }
+
+    /// All that another member knows. False if it is nobody of the roster.
+    pub fn take_whole(&mut self, now: Micros, whole: Whole) -> bool {
+        let now = self.look(now);
+        if !self.roster.has(whole.header.from) || whole.updates.len() > crate::roster::MEMBERS_MOST {
+            self.refused.strangers += 1;
+            return false;
+        }
+        if whole.header.from != self.me {
+            self.speaks(now, &whole.header);
+        }
+        whole.updates.into_iter().for_each(|word| self.learn(now, word));
+        self.settled(now);
+        true
+    }
+
+    /// The folder holds a boot number that [`Output::Persist`] asked for.
+    pub fn persisted(&mut self, now: Micros, boot: u64) {
+        self.identity.persisted(boot);
+        self.members.announce(Update { about: self.me, record: self.identity.record(), by: self.me });
+        self.settled(now);
+    }
+
+    /// It goes: the others need not find that out.
+    pub fn leave(&mut self, now: Micros) {
+        self.identity.leave();
+        self.members.announce(Update { about: self.me, record: self.identity.record(), by: self.me });
+        let mut there = self.members.there().to_vec();
+        rand::seq::SliceRandom::shuffle(&mut there[..], &mut self.rng);
+        there.into_iter().take(FAREWELLS).for_each(|to| self.send(to, Body::Words));
+        self.settled(now);
+    }
+
+    /// Another roster.
+    ///
+    /// # Errors
+    ///
+    /// It does not follow the one in force, or this process is not in it.
+    pub fn change_roster(&mut self, now: Micros, next: Roster) -> Result<(), RosterError> {
+        next.follows(&self.roster)?;
+        if !next.has(self.me) {
+            return Err(RosterError::NotMe(self.roster.name(self.me).unwrap_or_default().to_owned()));
+        }
+        self.members.roster(now, &next, self.me);
+        self.settler.roster(next.reference());
+        self.support.view(self.settler.view().id);
+        self.roster = next;
+        self.settled(now);
+        Ok(())
+    }
+
+    // ---- Parts ----
+
+    /// Looks at the clock. A process that looks much later than it meant to was stopped: what it has not heard since
+    /// tells of itself, not of others, and it is sure of nothing until one of them answers it.
+    fn look(&mut self, now: Micros) -> Micros {
+        let now = now.max(self.seen);
+        let late = now.saturating_sub(self.due.max(self.seen));
+        if late >= self.timing.period {
+            // Answers to probes numbered above this were asked for after now.
+            let after = self.detector.last_number();
+            self.unsure = (self.roster.len() > 1).then_some((after, now + self.timing.settle_most));
+            self.members.put_off(late);
+            self.detector.woke(now);
+            self.outputs.push(Output::Event(Event::Woke(late)));
+        } else if late >= self.timing.period / 4 {
+            self.detector.health.worse(1);
+        }
+        self.seen = now;
+        self.due = self.due.max(now);
+        now
+    }
+
+    fn header(&self) -> Header {
+        let record = self.identity.record();
+        Header {
+            from: self.me,
+            inc: record.inc,
+            life: record.life,
+            roster: self.roster.reference(),
+            view: self.settler.view().id,
+        }
+    }
+
+    fn send(&mut self, to: MemberId, body: Body) {
+        // Before the boot is on disk, and while another speaks under the same name, nothing is said. Probes of a
+        // doubled one would keep a quarrel alive.
+        if self.identity.is_mute() || self.identity.is_doubled(self.seen, self.timing.forget) {
+            return;
+        }
+        let updates = self.members.words(to, UPDATES_MOST);
+        let packet = Packet { header: self.header(), body, updates };
+        self.outputs.push(Output::Send { to, packet });
+    }
+
+    fn ask(&mut self, now: Micros, ask: Ask) {
+        match ask {
+            Ask::Ping(to, seq) => self.send(to, Body::Ping { seq }),
+            Ask::PingFor(to, seq, target) => self.send(to, Body::PingFor { seq, target }),
+            Ask::Ack(to, seq) => self.send(to, Body::Ack { seq }),
+            Ask::Nack(to, seq) => self.send(to, Body::Nack { seq }),
+            Ask::Silent(id) => {
+                let Some(record) = self.members.get(id).map(|e| e.record).filter(|r| r.health.is_there())
+                else {
+                    return;
+                };
+                let record = Record { health: Health::Suspect, ..record };
+                self.members.learn(now, Update { about: id, record, by: self.me });
+            }
+        }
+    }
+
+    /// A packet's header is a word of its sender about itself.
+    fn speaks(&mut self, now: Micros, header: &Header) {
+        let known = self.members.get(header.from).and_then(|e| e.roster);
+        if header.roster != self.roster.reference() && known != Some(header.roster) {
+            let event = Event::Disagrees { with: header.from, theirs: header.roster };
+            self.outputs.push(Output::Event(event));
+        }
+        self.members.heard(now, header.from, header.roster);
+        let record = Record { inc: header.inc, health: Health::Alive, life: header.life };
+        self.learn(now, Update { about: header.from, record, by: header.from });
+    }
+
+    fn learn(&mut self, now: Micros, word: Update) {
+        if word.about == self.me {
+            self.own_word(now, &word.record);
+        } else if self.members.learn(now, word) == Learnt::Refused {
+            self.refused.words += 1;
+        }
+    }
+
+    fn own_word(&mut self, now: Micros, record: &Record) {
+        match self.identity.hears(now, record) {
+            OwnNews::Nothing => {}
+            OwnNews::Refuted => {
+                // To be suspected may be one's own slowness.
+                self.detector.health.worse(1);
+                self.members.announce(Update { about: self.me, record: self.identity.record(), by: self.me });
+            }
+            OwnNews::Persist(boot) => self.outputs.push(Output::Persist { boot }),
+        }
+    }
+
+    /// One that speaks while it is held to be suspected, dead or older than what is known hears that at once.
+    fn refute(&mut self, from: MemberId, header: &Header, body: Body) {
+        let Some(entry) = self.members.get(from) else { return };
+        let wrong =
+            !matches!(entry.record.health, Health::Alive | Health::Left) || entry.record.inc > header.inc;
+        if !wrong || matches!(body, Body::Ping { .. }) && entry.record.health != Health::Alive {
+            // An answer to a ping takes the word along.
+            return;
+        }
+        let word = Update { about: from, record: entry.record, by: entry.by.unwrap_or(from) };
+        if self.identity.is_mute() || self.identity.is_doubled(self.seen, self.timing.forget) {
+            return;
+        }
+        let packet = Packet { header: self.header(), body: Body::Words, updates: vec![word] };
+        self.outputs.push(Output::Send { to: from, packet });
+    }
+
+    fn knock(&mut self) {
+        let missing: Vec<MemberId> = self.members.missing().collect();
+        for _ in 0..KNOCKS.min(missing.len()) {
+            let to = missing[self.rng.random_range(0..missing.len())];
+            // No probe: nothing follows if it is not answered.
+            self.send(to, Body::Ping { seq: 0 });
+        }
+    }
+
+    fn sync(&mut self) {
+        let there = self.members.there();
+        let of: Vec<MemberId> =
+            if there.is_empty() { self.members.missing().collect() } else { there.to_vec() };
+        if !of.is_empty() && !self.identity.is_mute() {
+            let with = of[self.rng.random_range(0..of.len())];
+            self.outputs.push(Output::Sync { with });
+        }
+    }
+
+    /// Asks the voters of its view, itself among them.
+    fn ask_support(&mut self, now: Micros) {
+        if self.identity.is_leaving() {
+            return;
+        }
+        let view = self.settler.view();
+        let id = view.id;
+        let voters: Vec<MemberId> = self.roster.voters().filter(|v| view.members.contains_key(v)).collect();
+        for voter in voters {
+            if voter != self.me {
+                self.send(voter, Body::Ask { at: now });
+            } else if self.may_vote(now) && self.voter.supports(now, id, self.lease) {
+                self.support.granted(voter, id, now, self.lease);
+            }
+        }
+    }
+
+    fn may_vote(&self, now: Micros) -> bool {
+        !self.identity.is_mute()
+            && !self.identity.is_leaving()
+            && !self.identity.is_doubled(now, self.timing.forget)
+    }
+
+    /// Somebody asks for support: given where both hold the same view.
+    fn asked(&mut self, now: Micros, header: &Header, at: Micros) {
+        let view = self.settler.view().id;
+        let votes = self.may_vote(now) && self.roster.voters().any(|id| id == self.me);
+        if votes && header.view == view && self.voter.supports(now, view, self.lease) {
+            self.send(header.from, Body::Support { view, at });
+        }
+    }
+
+    fn supported(&mut self, now: Micros, header: &Header, view: crate::id::ViewId, at: Micros) {
+        let boot = self.settler.view().members.get(&header.from);
+        let votes = self.roster.voters().any(|id| id == header.from);
+        // What was never asked, or by a process that is not the one of the view, is nobody's support.
+        if at > now || !votes || (view == self.settler.view().id && boot != Some(&header.inc.boot)) {
+            self.refused.support += 1;
+            return;
+        }
+        self.support.granted(header.from, view, at, self.lease);
+    }
+
+    /// What follows from all that was heard: view, certainty, standing.
+    fn settled(&mut self, now: Micros) {
+        self.identity.forget(now, self.timing.forget);
+        let mut present = self.members.present();
+        present.insert(self.me, self.identity.incarnation().boot);
+        let reference = self.roster.reference();
+        let suspects = self.members.suspects();
+        if self.settler.observe(now, present, suspects, reference) {
+            let view = self.settler.view().clone();
+            self.support.view(view.id);
+            self.next_ask = now;
+            if self.unsure.is_some_and(|(after, _)| after == u64::MAX) {
+                self.unsure = None;
+            }
+            self.outputs.push(Output::Event(Event::View(view)));
+        }
+        if self.unsure.is_some_and(|(_, until)| now >= until) {
+            self.unsure = None;
+        }
+        let standing = self.standing(now);
+        if standing != self.told {
+            self.outputs.push(Output::Event(Event::Standing { from: self.told, to: standing }));
+            self.told = standing;
+        }
+        self.due = self.next_wake().max(now);
+    }
+}
--- /dev/null
+++ b/crates/membership/src/detector.rs
@@ -0,0 +1,323 @@
+//! Probes, suspicion and local health: SWIM with what Lifeguard adds. Knows no packets: it says whom to ask.
+
+use crate::id::{MemberId, Micros};
+use rand::seq::SliceRandom;
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Others that are asked to try where one's own probe was not answered.
+pub const HELPERS: usize = 3;
+/// Local health goes from 0 to this: all own times are up to so many times as long and one. Lifeguard goes to 8; here a
+/// process sees by its own clock that it was slow, and in a small island, where most helpers are gone as well, a
+/// longer period would only put off what is true.
+const HEALTH_MOST: u32 = 3;
+/// Independent suspicions by which a suspicion's time falls to its least.
+const CONFIRM: usize = 3;
+/// The least time of a suspicion, in probe periods times the logarithm of the fleet's size,
+const SUSPECT_LEAST: f64 = 3.0;
+/// and the longest as a multiple of that.
+const SUSPECT_MOST: f64 = 4.0;
+/// Probes for others that are under way, at most.
+const FORWARDS_MOST: usize = 256;
+
+/// How well this process itself is doing: one that is slow doubts itself before it doubts others.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LocalHealth(u32);
+
+impl LocalHealth {
+    /// Something went well.
+    pub fn better(&mut self) {
+        self.0 = self.0.saturating_sub(1);
+    }
+
+    /// Something went ill that may be one's own fault.
+    pub fn worse(&mut self, by: u32) {
+        self.0 = (self.0 + by).min(HEALTH_MOST);
+    }
+
+    /// Own times are to be so many times as long.
+    pub fn factor(self) -> u64 {
+        u64::from(self.0) + 1
+    }
+}
+
+/// A suspicion under way.
+#[derive(Clone, Debug)]
+pub struct Suspicion {
+    start: Micros,
+    least: Micros,
+    most: Micros,
+    by: BTreeSet<MemberId>,
+}
+
+impl Suspicion {
+    /// Begins, in a fleet of `members`, by a word of `by`.
+    pub fn new(now: Micros, period: Micros, members: usize, by: MemberId) -> Self {
+        let log = (members.max(2) as f64).log10().max(1.0);
+        let least = (SUSPECT_LEAST * log * period as f64) as Micros;
+        let most = if members <= 2 { least } else { (least as f64 * SUSPECT_MOST) as Micros };
+        Suspicion { start: now, least, most, by: BTreeSet::from([by]) }
+    }
+
+    /// Somebody else suspects it too. True if that was not known.
+    pub fn confirm(&mut self, by: MemberId) -> bool {
+        self.by.len() <= CONFIRM && self.by.insert(by)
+    }
+
+    /// When it ends with the member dead, unless that refutes it.
+    pub fn ends(&self) -> Micros {
+        let confirmed = (self.by.len() - 1).min(CONFIRM) as f64;
+        let part = (confirmed + 1.0).ln() / (CONFIRM as f64 + 1.0).ln();
+        self.start + self.most - ((self.most - self.least) as f64 * part) as Micros
+    }
+
+    /// This process was stopped for so long: nobody could have refuted anything to it.
+    pub fn put_off(&mut self, by: Micros) {
+        self.start += by;
+    }
+}
+
+/// The probe that is out.
+#[derive(Clone, Debug)]
+struct Probe {
+    seq: u64,
+    target: MemberId,
+    /// Others are asked then,
+    helped_at: Micros,
+    /// and it is given up then.
+    ends: Micros,
+    helpers: usize,
+    nacks: usize,
+    acked: bool,
+}
+
+/// A probe made for somebody else.
+#[derive(Clone, Copy, Debug)]
+struct Forward {
+    origin: MemberId,
+    origin_seq: u64,
+    nack_at: Micros,
+    ends: Micros,
+    nacked: bool,
+}
+
+/// What is to be said, and found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ask {
+    /// Ask whether it is there.
+    Ping(MemberId, u64),
+    /// Ask one to ask another.
+    PingFor(MemberId, u64, MemberId),
+    /// Tell who asked that the other is there.
+    Ack(MemberId, u64),
+    /// Tell who asked that the other has not answered yet.
+    Nack(MemberId, u64),
+    /// It did not answer in time.
+    Silent(MemberId),
+}
+
+/// Asks one member after another.
+#[derive(Clone, Debug)]
+pub struct Detector {
+    period: Micros,
+    ring: Vec<MemberId>,
+    probe: Option<Probe>,
+    next_probe: Micros,
+    seq: u64,
+    forwards: BTreeMap<u64, Forward>,
+    /// Its own health.
+    pub health: LocalHealth,
+}
+
+impl Detector {
+    /// One that begins at `first`.
+    pub fn new(period: Micros, first: Micros) -> Self {
+        Detector {
+            period,
+            ring: Vec::new(),
+            probe: None,
+            next_probe: first,
+            seq: 0,
+            forwards: BTreeMap::new(),
+            health: LocalHealth::default(),
+        }
+    }
+
+    /// When there is something to do.
+    pub fn next_look(&self) -> Micros {
+        let probe = self.probe.as_ref().filter(|p| !p.acked);
+        let probe = probe.map_or(Micros::MAX, |p| if p.helpers == 0 { p.helped_at } else { p.ends });
+        let forwards = self.forwards.values().map(|f| if f.nacked { f.ends } else { f.nack_at });
+        forwards.min().unwrap_or(Micros::MAX).min(probe).min(self.next_probe)
+    }
+
+    /// The number of the last probe.
+    pub fn last_number(&self) -> u64 {
+        self.seq
+    }
+
+    /// A number for a probe.
+    fn number(&mut self) -> u64 {
+        self.seq += 1;
+        self.seq
+    }
+
+    /// Looks at its times. `others` are the members that may be asked.
+    pub fn tick(&mut self, now: Micros, others: &[MemberId], rng: &mut ChaCha8Rng, out: &mut Vec<Ask>) {
+        for forward in self.forwards.values_mut().filter(|f| !f.nacked && now >= f.nack_at) {
+            forward.nacked = true;
+            out.push(Ask::Nack(forward.origin, forward.origin_seq));
+        }
+        self.forwards.retain(|_, forward| now < forward.ends);
+        self.help(now, others, rng, out);
+        if let Some(probe) = self.probe.take_if(|p| !p.acked && now >= p.ends) {
+            // Helpers that said nothing at all: the fault may lie here.
+            if probe.nacks == 0 {
+                self.health.worse(1);
+            }
+            out.push(Ask::Silent(probe.target));
+        }
+        if now >= self.next_probe && self.probe.as_ref().is_none_or(|p| p.acked) {
+            let span = self.period * self.health.factor();
+            self.next_probe = now + span;
+            self.probe = self.next_target(others, rng).map(|target| {
+                let seq = self.number();
+                out.push(Ask::Ping(target, seq));
+                let (helped_at, ends) = (now + span * 2 / 5, now + span);
+                Probe { seq, target, helped_at, ends, helpers: 0, nacks: 0, acked: false }
+            });
+        }
+    }
+
+    fn help(&mut self, now: Micros, others: &[MemberId], rng: &mut ChaCha8Rng, out: &mut Vec<Ask>) {
+        let Some(probe) = self.probe.as_mut() else { return };
+        if probe.acked || probe.helpers > 0 || now < probe.helped_at || now >= probe.ends {
+            return;
+        }
+        let mut helpers: Vec<MemberId> = others.iter().copied().filter(|id| *id != probe.target).collect();
+        let (chosen, _) = helpers.partial_shuffle(rng, HELPERS);
+        probe.helpers = chosen.len();
+        out.extend(chosen.iter().map(|helper| Ask::PingFor(*helper, probe.seq, probe.target)));
+        // Once more by itself: the first may have been lost alone.
+        out.push(Ask::Ping(probe.target, probe.seq));
+        if probe.helpers == 0 {
+            probe.helped_at = probe.ends;
+        }
+    }
+
+    /// Each member once in a round, in an order that is drawn anew for each: the time to the first probe of a dead
+    /// one is bounded by a round.
+    fn next_target(&mut self, others: &[MemberId], rng: &mut ChaCha8Rng) -> Option<MemberId> {
+        for _ in 0..2 {
+            while let Some(id) = self.ring.pop() {
+                if others.contains(&id) {
+                    return Some(id);
+                }
+            }
+            self.ring = others.to_vec();
+            self.ring.shuffle(rng);
+        }
+        None
+    }
+
+    /// Somebody asks whether another is there.
+    pub fn ping_for(
+        &mut self,
+        now: Micros,
+        origin: MemberId,
+        origin_seq: u64,
+        target: MemberId,
+    ) -> Option<Ask> {
+        if self.forwards.len() >= FORWARDS_MOST {
+            return None;
+        }
+        let seq = self.number();
+        // The other waits for three fifths of its period; a word in time must be under way before that.
+        let (nack_at, ends) = (now + self.period * 2 / 5, now + self.period * 2);
+        self.forwards.insert(seq, Forward { origin, origin_seq, nack_at, ends, nacked: false });
+        Some(Ask::Ping(target, seq))
+    }
+
+    /// An answer to a probe has come; whom that answers in turn.
+    pub fn acked(&mut self, seq: u64) -> Option<Ask> {
+        if let Some(forward) = self.forwards.remove(&seq) {
+            return Some(Ask::Ack(forward.origin, forward.origin_seq));
+        }
+        if let Some(probe) = self.probe.as_mut().filter(|p| p.seq == seq && !p.acked) {
+            probe.acked = true;
+            self.health.better();
+        }
+        None
+    }
+
+    /// A helper is there and has heard nothing.
+    pub fn nacked(&mut self, seq: u64) {
+        if let Some(probe) = self.probe.as_mut().filter(|p| p.seq == seq) {
+            probe.nacks += 1;
+        }
+    }
+
+    /// Whatever is out was not answered because this process did not listen.
+    pub fn woke(&mut self, now: Micros) {
+        self.probe = None;
+        self.forwards.clear();
+        self.next_probe = now;
+        self.health.worse(1);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand::SeedableRng;
+
+    #[test]
+    fn everybody_is_asked_within_two_rounds() {
+        let (others, mut rng): (Vec<_>, _) = ((0..20).map(MemberId).collect(), ChaCha8Rng::seed_from_u64(1));
+        let mut detector = Detector::new(10, 0);
+        let mut last = BTreeMap::new();
+        for round in 0..400u64 {
+            let mut out = Vec::new();
+            detector.tick(round * 10, &others, &mut rng, &mut out);
+            let Some(Ask::Ping(id, seq)) = out.first() else { panic!("{out:?}") };
+            let before = last.insert(*id, round).unwrap_or(0);
+            assert!(round - before < 40, "{id:?} waited {}", round - before);
+            detector.acked(*seq);
+        }
+        assert_eq!(last.len(), 20);
+    }
+
+    #[test]
+    fn suspicions_of_several_end_sooner_and_one_told_often_does_not() {
+        let start = |by: &[u64]| {
+            let mut s = Suspicion::new(0, 1000, 100, MemberId(0));
+            by.iter().for_each(|by| {
+                s.confirm(MemberId(*by));
+            });
+            s.ends()
+        };
+        assert_eq!(start(&[0, 0, 0]), 24_000);
+        assert_eq!(start(&[1, 2, 3]), 6_000);
+        assert!(start(&[1]) > start(&[1, 2]));
+        assert_eq!(start(&[1, 2, 3, 4, 5]), 6_000);
+    }
+
+    #[test]
+    fn a_process_whose_helpers_are_silent_too_doubts_itself() {
+        let others: Vec<_> = (0..5).map(MemberId).collect();
+        let (mut rng, mut out) = (ChaCha8Rng::seed_from_u64(1), Vec::new());
+        let mut detector = Detector::new(10, 0);
+        for now in 0..12 {
+            detector.tick(now, &others, &mut rng, &mut out);
+        }
+        assert!(out.iter().any(|ask| matches!(ask, Ask::Silent(_))));
+        assert_eq!(detector.health.factor(), 2);
+        // One that hears at least that the others have heard nothing does not.
+        let mut detector = Detector::new(10, 0);
+        for now in 0..12 {
+            detector.tick(now, &others, &mut rng, &mut out);
+            detector.nacked(1);
+        }
+        assert_eq!(detector.health.factor(), 1);
+    }
+}
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -259,6 +259,8 @@
     /// What each tenant may have from now on of what counts in full (messages a second), where several senders of
     /// one process share it.
     Quotas(Vec<f64>),
+    /// So many senders share from now on what is told for all: [`Settings::senders`] as it is now.
+    Senders(usize),
     /// A message was handed in; it is owed one final answer.
     Submit(Submit),
     /// An attempt ended.
--- a/crates/policy/src/balancer/admission.rs
+++ b/crates/policy/src/balancer/admission.rs
@@ -65,13 +65,9 @@
             let Some((_, dest, endpoint, id, falters)) = best else { break };
             sick_calls += usize::from(falters);
             self.send(now, dest, endpoint, id, actions);
-            // A send changes nothing for the other destinations: to look at all again costs the most where
-            // many wait.
-            if self.waiting.contains(&dest) {
-                offers.insert(dest, self.offer(dest, now));
-            } else {
-                offers.remove(&dest);
-            }
+            // A send changes nothing for the other destinations, and to look at all again is dear.
+            offers.remove(&dest);
+            offers.extend(self.waiting.contains(&dest).then(|| (dest, self.offer(dest, now))));
         }
         self.reclaim(now, actions);
         self.close_idle(now, actions);
--- a/crates/policy/src/balancer/env.rs
+++ b/crates/policy/src/balancer/env.rs
@@ -32,11 +32,19 @@
         let aim = aims.min().unwrap_or(SECOND as Micros).max(1000) as f64;
         let warm = (settings.warm_after.max(settings.overload_for) as f64).max(aim);
         let health = warm * HEALTH_SPAN;
-        let part = UNEVEN / (settings.senders as f64).max(UNEVEN);
-        let others = 1.0 - part;
-        let least = SECOND / aim * part;
-        let tick = settings.round.max(1000);
-        Env { s: settings, aim, warm, health, part, others, least, tick }
+        let (senders, tick) = (settings.senders, settings.round.max(1000));
+        let mut e = Env { s: settings, aim, warm, health, tick, ..Env::default() };
+        e.share_among(senders);
+        e
+    }
+
+    /// So many senders share what is told for all. By what factor a part of it has grown with that.
+    pub(super) fn share_among(&mut self, senders: usize) -> f64 {
+        self.s.senders = senders;
+        let before = std::mem::replace(&mut self.part, UNEVEN / (senders as f64).max(UNEVEN));
+        self.others = 1.0 - self.part;
+        self.least = SECOND / self.aim * self.part;
+        self.part / before
     }
 
     /// Part of a told limit that one starts with; calls that gather messages can be few.
--- a/crates/policy/src/balancer/list.rs
+++ b/crates/policy/src/balancer/list.rs
@@ -20,16 +20,10 @@
             };
             let endpoint = self.endpoints.entry(entry.endpoint).or_insert_with(new);
             (endpoint.dest, endpoint.zone) = (entry.dest, entry.zone);
-            if entry.listing == Listing::Serving {
-                dest.endpoints.insert(entry.endpoint);
-            } else {
-                dest.endpoints.remove(&entry.endpoint);
-            }
-            if entry.listing == Listing::Deleted {
-                self.gone.entry(entry.endpoint).or_insert(now);
-            } else {
-                self.gone.remove(&entry.endpoint);
-            }
+            let (id, serves) = (entry.endpoint, entry.listing == Listing::Serving);
+            let _ = if serves { dest.endpoints.insert(id) } else { dest.endpoints.remove(&id) };
+            let since = self.gone.remove(&id).unwrap_or(now);
+            self.gone.extend((entry.listing == Listing::Deleted).then_some((id, since)));
             let scope = if dest.kind.routes_apart { &mut endpoint.scope } else { &mut dest.scope };
             if self.e.s.weights != Weights::Off && entry.weight > 0.0 {
                 scope.listed = entry.weight;
@@ -45,11 +39,9 @@
     pub(super) fn forget_endpoints(&mut self, now: Micros) {
         let (endpoints, warm) = (&mut self.endpoints, self.e.warm as Micros);
         self.gone.retain(|id, since| {
-            let kept =
-                endpoints.get(id).is_some_and(|t| t.out > 0 || now < t.scope.wait_until.max(*since + warm));
-            if !kept {
-                endpoints.remove(id);
-            }
+            let keeps = |t: &Endpoint| t.out > 0 || now < t.scope.wait_until.max(*since + warm);
+            let kept = endpoints.get(id).is_some_and(keeps);
+            let _ = (!kept).then(|| endpoints.remove(id));
             kept
         });
     }
--- a/crates/policy/src/balancer/mod.rs
+++ b/crates/policy/src/balancer/mod.rs
@@ -59,8 +59,14 @@
                 let tenants = Arc::make_mut(&mut self.e).s.tenants.iter_mut();
                 tenants.zip(quotas).for_each(|(tenant, quota)| tenant.quota = quota);
             }
-            Event::Wake if now >= self.wake_at => self.wake_at = Micros::MAX,
-            Event::Wake => {}
+            Event::Senders(senders) => {
+                // Paces shrink at once, before those who come take their part; they grow as room is seen.
+                let less = Arc::make_mut(&mut self.e).share_among(senders).min(1.0);
+                let scopes = self.dests.values_mut().map(|d| &mut d.scope);
+                let scopes = scopes.chain(self.endpoints.values_mut().map(|t| &mut t.scope));
+                scopes.for_each(|s| s.limit = s.limit.map(|l| l * less));
+            }
+            Event::Wake => self.wake_at = if now >= self.wake_at { Micros::MAX } else { self.wake_at },
             Event::TurnEnd => self.turn_end(now, actions),
         }
     }
--- a/crates/policy/src/balancer/outcomes.rs
+++ b/crates/policy/src/balancer/outcomes.rs
@@ -80,6 +80,7 @@
             self.counters.remove(&a.dest);
         }
         let (e, took) = (self.e.clone(), end.elapsed as f64);
+        let others = end.outcome.never_ran() && self.others_serve(a.dest, a.endpoint);
         let t = self.endpoints.get_mut(&a.endpoint).expect("only known endpoints are sent to");
         t.out = t.out.saturating_sub(1);
         if matches!(end.outcome, Outcome::Delivered | Outcome::Error | Outcome::Full { .. }) {
@@ -87,8 +88,6 @@
             t.idle.retain(|at| now - at < e.s.idle_close);
             self.used.insert(a.endpoint);
         }
-        let others = end.outcome.never_ran() && self.others_serve(a.dest, a.endpoint);
-        let t = self.endpoints.get_mut(&a.endpoint).expect("only known endpoints are sent to");
         let at_once = end.outcome == Outcome::ConnectFailed && end.elapsed < e.s.connect_timeout / 2;
         self.crowded_until = if at_once { now + e.warm as Micros } else { self.crowded_until };
         match end.outcome {
--- a/crates/policy/src/balancer/scope.rs
+++ b/crates/policy/src/balancer/scope.rs
@@ -303,8 +303,7 @@
 
     /// A limit is told for all senders: what counts is what this one sends, or its even part.
     fn back_off(&mut self, now: Micros, e: &Env) {
-        // Where none is told, or the mean is low for its coming back, what was sent just before is the best
-        // guess.
+        // Where none is told, or the mean is low for its coming back, what was just sent is the best guess.
         let told = self.state == State::Open && self.is_told();
         let guess = if told { 0.0 } else { self.short.get(now, RECENT) * SECOND / RECENT };
         let sent = self.own_rate(now, e).max(self.own_part(e)).max(guess);
--- a/crates/rig/src/bin/rig.rs
+++ b/crates/rig/src/bin/rig.rs
@@ -2,11 +2,15 @@
 
 use clap::{Args, Parser, Subcommand};
 use indicatif::{ProgressBar, ProgressStyle};
+use std::collections::BTreeMap;
 use std::io;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use yarrowhill_checker::Rule;
-use yarrowhill_rig::{Bug, Load, Played, Scratch, Script, Sweep, patched, play_load, sweep};
+use yarrowhill_rig::{
+    Bug, Cell, FleetPlayed, FleetScene, Load, Played, Scratch, Script, Sweep, count, directed, patched,
+    play_load, play_scenes, sweep,
+};
 
 /// Plays scripted faults by seeds against the forwarder and judges the six rules.
 #[derive(Parser)]
@@ -69,10 +73,62 @@
         #[arg(long)]
         fit: bool,
     },
+    /// Counts over the debug logs of many forwarders.
+    Count {
+        /// Logs, one for each forwarder.
+        #[arg(required = true)]
+        logs: Vec<PathBuf>,
+        /// What rows are for.
+        #[arg(long, value_enum, default_value_t = By::Destination)]
+        by: By,
+        /// Every line about this message, in the order of their times.
+        #[arg(long)]
+        message: Option<String>,
+    },
+    /// Plays scenes over several processes that know each other.
+    Fleet {
+        /// A scene's document.
+        #[arg(long)]
+        scene: Option<PathBuf>,
+        /// The directed scenes, one for each hard case.
+        #[arg(long)]
+        directed: bool,
+        /// Seeds.
+        #[arg(long, default_value_t = 0)]
+        seeds: u64,
+        /// The first.
+        #[arg(long, default_value_t = 0)]
+        from: u64,
+        /// Scenes at once.
+        #[arg(long, default_value_t = 6)]
+        jobs: usize,
+        /// Prints all that was done and told.
+        #[arg(long)]
+        ledger: bool,
+        /// The folder of the scene, so that others can ask its processes: `FOLDER/0/state` is the first one's state.
+        #[arg(long, requires = "scene")]
+        folder: Option<PathBuf>,
+        /// Prints each act as it is done.
+        #[arg(long, requires = "scene")]
+        show: bool,
+    },
     /// Hands in many messages a second, some of them once more, and counts what ran twice.
     Load(LoadArgs),
 }
 
+/// What a row of counts is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
+enum By {
+    /// Each destination.
+    Destination,
+    /// Each forwarder.
+    Forwarder,
+    /// Each second.
+    Second,
+    /// All together.
+    All,
+}
+
 #[derive(Args)]
 struct LoadArgs {
     /// Messages a second.
@@ -184,6 +240,51 @@
         }
         Command::Bugs { seeds, jobs, only, fit: false } => bugs(seeds, jobs, only).await,
         Command::Load(args) => load(args).await,
+        Command::Count { logs, by, message } => match message {
+            Some(message) => follow(&logs, &message),
+            None => Ok(counted(&logs, by)),
+        },
+        Command::Fleet { scene: Some(path), folder: Some(folder), ledger, show, .. } => {
+            let text = std::fs::read_to_string(path)?;
+            let scene = FleetScene::read(&text).map_err(io::Error::other)?;
+            let acts = scene.acts.clone();
+            if show {
+                tokio::spawn(async move {
+                    let start = std::time::Instant::now();
+                    for (at, act) in acts {
+                        let pause = std::time::Duration::from_secs_f64(at / 1000.0);
+                        tokio::time::sleep(pause.saturating_sub(start.elapsed())).await;
+                        println!("{:6.1} s  {act:?}", at / 1000.0);
+                    }
+                });
+            }
+            let _ = std::fs::remove_dir_all(&folder);
+            let played = yarrowhill_rig::play_scene(&scene, &program(None)?, &folder).await?;
+            if ledger {
+                for entry in &played.ledger {
+                    println!("{:8.1} {}", entry.at, serde_json::to_string(&entry.event).unwrap_or_default());
+                }
+            }
+            if show {
+                changes(&played);
+            }
+            played.breaches.iter().for_each(|b| println!("{b}"));
+            played.rules.iter().for_each(|(n, b)| println!("{n}: {b}"));
+            println!("{}: {}", scene.name, if played.is_clean() { "everything held" } else { "not clean" });
+            Ok(played.is_clean())
+        }
+        Command::Fleet { scene, directed: all, seeds, from, jobs, ledger, .. } => {
+            let mut scenes = Vec::new();
+            if let Some(path) = scene {
+                let text = std::fs::read_to_string(path)?;
+                scenes.push(FleetScene::read(&text).map_err(io::Error::other)?);
+            }
+            if all {
+                scenes.extend(directed());
+            }
+            scenes.extend((from..from + seeds).map(FleetScene::draw));
+            fleet(scenes, jobs, ledger).await
+        }
     }
 }
 
@@ -224,6 +325,7 @@
     println!("own clocks {:.0} ms late at most", played.lateness);
     played.crashed.iter().for_each(|why| println!("{why}"));
     played.breaches.iter().for_each(|b| println!("{b}"));
+    played.fleet.iter().for_each(|b| println!("{b}"));
 }
 
 async fn bugs(seeds: u64, jobs: usize, only: Option<Bug>) -> io::Result<bool> {
@@ -245,15 +347,25 @@
         };
         let caught = sweep(plan, |_, _| {}).await?;
         let line = match caught.first() {
-            Some((seed, played)) => match played.breaches.first() {
-                Some(b) => format!("{:36} seed {seed:3}: {b}", bug.name()),
-                None => format!("{:36} seed {seed:3}: {:?}", bug.name(), played.crashed),
+            Some((seed, played)) => match (played.breaches.first(), played.fleet.first()) {
+                (Some(b), _) => format!("{:36} seed {seed:3}: {b}", bug.name()),
+                (_, Some(b)) => format!("{:36} seed {seed:3}: {b}", bug.name()),
+                _ => format!("{:36} seed {seed:3}: {:?}", bug.name(), played.crashed),
             },
             None => {
                 all = false;
                 format!("{:36} not caught in {seeds} seeds", bug.name())
             }
         };
+        let line = match bug.is_of_members().then(|| scratch.attack(bug)) {
+            None => line,
+            Some(Ok(Some(told))) => format!("{line}; {told}"),
+            Some(Ok(None)) => {
+                all = false;
+                format!("{line}; not caught without processes")
+            }
+            Some(Err(e)) => return Err(io::Error::other(e)),
+        };
         bar.println(&line);
         if bar.is_hidden() {
             println!("{line}");
@@ -305,3 +417,98 @@
     loaded.breaches.iter().take(10).for_each(|b| println!("{b}"));
     Ok(loaded.is_clean())
 }
+
+/// Every line about a message, over all logs.
+fn follow(logs: &[PathBuf], message: &str) -> io::Result<bool> {
+    let mut found = Vec::new();
+    for log in logs {
+        let name = log.file_stem().map_or_else(String::new, |n| n.to_string_lossy().into_owned());
+        for line in io::BufRead::split(io::BufReader::new(std::fs::File::open(log)?), b'\n') {
+            let line = String::from_utf8_lossy(&line?).into_owned();
+            if line.contains(message) {
+                found.push((line, name.clone()));
+            }
+        }
+    }
+    found.sort();
+    found.iter().for_each(|(line, name)| println!("{name:8} {line}"));
+    Ok(!found.is_empty())
+}
+
+fn counted(logs: &[PathBuf], by: By) -> bool {
+    let counts = count(logs);
+    let mut rows: BTreeMap<String, Cell> = BTreeMap::new();
+    let first = counts.cells.keys().map(|(.., second)| *second).min().unwrap_or(0);
+    for ((forwarder, dest, second), cell) in &counts.cells {
+        let row = match by {
+            By::Destination => format!("{dest:>8}"),
+            By::Forwarder => counts.forwarders[*forwarder].clone(),
+            By::Second => format!("{:>5} s", second - first),
+            By::All => "all".to_owned(),
+        };
+        rows.entry(row).or_default().add(cell);
+    }
+    let head: Vec<String> = Cell::default().figures().iter().map(|(name, _)| format!("{name:>12}")).collect();
+    println!("{:12}{}", "", head.concat());
+    for (row, cell) in &rows {
+        let figures: Vec<String> = cell.figures().iter().map(|(_, n)| format!("{n:>12}")).collect();
+        println!("{row:12}{}", figures.concat());
+    }
+    println!("{} forwarders, {} messages, {} delivered", logs.len(), counts.messages, counts.delivered);
+    counts.suspected.iter().for_each(|(what, n)| println!("{n} {what}"));
+    for suspect in counts.suspects.iter().take(20) {
+        let at = suspect.at as f64 / 1e6 - first as f64;
+        println!(
+            "  {} at {at:.3} s in {}: {}",
+            suspect.id, counts.forwarders[suspect.forwarder], suspect.what
+        );
+    }
+    counts.faults.iter().for_each(|(path, what)| eprintln!("{}: {what}", path.display()));
+    counts.faults.is_empty()
+}
+
+async fn fleet(scenes: Vec<FleetScene>, jobs: usize, ledger: bool) -> io::Result<bool> {
+    let program = program(None)?;
+    let bar = bar(scenes.len() as u64, "scenes");
+    let count = scenes.len();
+    let (mut unclean, mut taken_on, mut late) = (0, 0, 0.0f64);
+    let mut tell = |scene: &FleetScene, played: &FleetPlayed| {
+        bar.inc(1);
+        taken_on += played.taken_on;
+        late = late.max(played.lateness);
+        if ledger {
+            for entry in &played.ledger {
+                println!("{:8.1} {}", entry.at, serde_json::to_string(&entry.event).unwrap_or_default());
+            }
+        }
+        if !played.is_clean() {
+            unclean += 1;
+            println!("{} ({:.0} ms late):", scene.name, played.lateness);
+            played.breaches.iter().take(3).for_each(|b| println!("  {b}"));
+            played.rules.iter().take(3).for_each(|(n, b)| println!("  {n}: {b}"));
+            played.crashed.iter().for_each(|c| println!("  {c}"));
+        }
+    };
+    play_scenes(scenes, &program, jobs, &mut tell).await?;
+    bar.finish_and_clear();
+    println!("{count} scenes, {unclean} not clean; {taken_on} messages taken on, {late:.0} ms late at most");
+    Ok(unclean == 0)
+}
+
+/// When each process's standing, view or part of what all share changed.
+fn changes(played: &FleetPlayed) {
+    let mut last: BTreeMap<usize, (String, usize, usize)> = BTreeMap::new();
+    for entry in &played.ledger {
+        let yarrowhill_checker::FleetEvent::Told(claim) = &entry.event else { continue };
+        let now = (claim.standing.clone(), claim.there.len(), claim.senders);
+        if last.get(&claim.who) != Some(&now) {
+            let (standing, there, senders) = &now;
+            println!(
+                "{:7.2} s  {}: {standing}, {there} in its view, limits shared by {senders}",
+                entry.at / 1000.0,
+                claim.who
+            );
+            last.insert(claim.who, now);
+        }
+    }
+}
--- a/crates/rig/src/bugs.rs
+++ b/crates/rig/src/bugs.rs
@@ -1,6 +1,7 @@
 //! Known bugs, each a small patch beside the rig: the product's own text knows nothing of them. A rig that does not
 //! catch them proves nothing by its silence.
 
+use crate::fleet::{FleetAct, FleetScene, Folder};
 use crate::load::Load;
 use crate::script::{Act, Dest, Script};
 use yarrowhill_standins::Faults;
@@ -61,6 +62,18 @@
     LoseRecord = "lose-the-last-record-of-a-turn",
     /// Beyond 4,096 ends a further one is not remembered.
     DropEnd = "drop-an-end-when-full",
+    /// Of two words about a member the worse counts, however old.
+    OldIncarnation = "believe-an-old-incarnation",
+    /// Those that are held to be dead count as there.
+    DeadThere = "count-the-dead-as-there",
+    /// Whatever is heard is the view at once.
+    Flicker = "let-a-flicker-through",
+    /// Half of the voters, rounded down, are taken for a majority.
+    HalfMajority = "take-half-for-a-majority",
+    /// Support does not run out, and a process that was stopped does not notice.
+    WakeBlind = "wake-without-looking",
+    /// A new boot number is spoken under before it is on disk.
+    SpeakEarly = "speak-before-the-boot-is-on-disk",
 }
 
 /// What is played against a bug.
@@ -70,6 +83,8 @@
     Script(Script),
     /// A load.
     Load(Load),
+    /// Several processes that know each other.
+    Fleet(FleetScene),
 }
 
 impl Bug {
@@ -78,9 +93,52 @@
         Bug::ALL.iter().copied().find(|bug| bug.name() == name)
     }
 
+    /// Whether it is one of membership: then `attack` must catch it too, without any process.
+    pub fn is_of_members(self) -> bool {
+        self.fleet().is_some()
+    }
+
+    /// The scene over several processes that must show it.
+    fn fleet(self) -> Option<FleetScene> {
+        use FleetAct::{Heal, Islands, Kill, Stall, Start};
+        let cut = |of: [usize; 3]| Islands(of.to_vec());
+        let acts = match self {
+            // Held for dead, and then back.
+            Bug::OldIncarnation => {
+                vec![(300.0, Kill(1)), (4000.0, Start(1, Folder::Kept))]
+            }
+            Bug::DeadThere => vec![(300.0, Kill(1)), (9000.0, Start(1, Folder::Kept))],
+            // All three come one after another.
+            Bug::Flicker => vec![
+                (300.0, cut([0, 1, 2])),
+                (5000.0, FleetAct::Cut(0, 1)),
+                (6000.0, Heal),
+                (6001.0, cut([0, 0, 1])),
+                (6002.0, Heal),
+            ],
+            Bug::HalfMajority => vec![(300.0, cut([0, 1, 1])), (8000.0, Heal)],
+            // Stopped with the others, and woken on the other side of a cut.
+            Bug::WakeBlind => {
+                vec![(1500.0, Stall(0, 8000.0)), (1600.0, cut([0, 1, 1])), (14_000.0, Heal)]
+            }
+            // What stands in the folder is older than what the others remember.
+            Bug::SpeakEarly => vec![
+                (300.0, Kill(1)),
+                (1500.0, Start(1, Folder::Kept)),
+                (4000.0, Kill(1)),
+                (4100.0, Start(1, Folder::Emptied)),
+            ],
+            _ => return None,
+        };
+        Some(FleetScene::new(self.name(), 3, acts))
+    }
+
     /// What is made for it: a calm world in which that alone goes wrong which the bug gets wrong, placed where it must
     /// show. The seed varies traffic and timing.
     pub fn scene(self, seed: u64) -> Scene {
+        if let Some(scene) = self.fleet() {
+            return Scene::Fleet(FleetScene { seed, ..scene });
+        }
         let dest = |number, batches, limit, faults| Dest {
             number,
             batches,
@@ -126,6 +184,8 @@
             Bug::DropEnd => {
                 return Scene::Load(Load { seed, rate: 1500.0, seconds: 5.0, again: 0.3, ..Load::default() });
             }
+            // Those of membership have scenes of their own.
+            _ => (calm(none), vec![]),
         };
         let clients = if self == Bug::TakeTwice { [0.0, 0.0, 0.5] } else { [0.0; 3] };
         let rate = 80.0;
--- /dev/null
+++ b/crates/rig/src/fleet/mod.rs
@@ -0,0 +1,15 @@
+//! Several processes of the real program that know each other, with a network of ours between them.
+//!
+//! - `relay`: one direction between two processes, by UDP and TCP
+//! - `scene`: what happens to them: as a value, as a document, or by a seed
+//! - `stage`: the processes, their folders and what they are told
+//! - `play`: a scene played; what everybody said goes into the ledger that the checker reads
+
+mod play;
+mod relay;
+mod scene;
+mod stage;
+
+pub use play::{FleetPlayed, play_scene, play_scenes};
+pub use relay::Weather;
+pub use scene::{FleetAct, FleetScene, Folder, SceneError, directed};
--- /dev/null
+++ b/crates/rig/src/fleet/play.rs
@@ -0,0 +1,425 @@
+//! Plays a scene: does what it says, asks everybody again and again what it believes, and judges that.
+
+use super::relay::Weather;
+use super::scene::{FleetAct, FleetScene};
+use super::stage::{FIRST_DEST, Fleet, class, terms};
+use crate::play::{Played, ms, watch_clock};
+use rand::{RngExt, SeedableRng};
+use serde_json::Value;
+use std::collections::BTreeSet;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{UdpSocket, UnixStream};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+use yarrowhill_checker::{
+    Breach, Claim, FleetBreach, FleetEntry, FleetEvent, FleetTerms, Rule, accounts, judge, judge_fleet,
+};
+use yarrowhill_standins::{Destination, Ledger, Message, Patience, Rng, hand_in};
+
+/// Between two questions to a process.
+const ASK_EVERY: Duration = Duration::from_millis(50);
+/// An answer takes no longer, unless the process is stopped.
+const ANSWER: Duration = Duration::from_millis(500);
+
+/// What came of a scene.
+#[derive(Debug)]
+pub struct FleetPlayed {
+    /// What the fleet should not have believed or done.
+    pub breaches: Vec<FleetBreach>,
+    /// Rules that one process broke over its own messages.
+    pub rules: Vec<(usize, Breach)>,
+    /// Messages that were taken on, over all processes.
+    pub taken_on: usize,
+    /// Processes that ended although nobody told them to.
+    pub crashed: Vec<String>,
+    /// How late the run's own clocks were at most (ms).
+    pub lateness: f64,
+    /// All that was done and told.
+    pub ledger: Vec<FleetEntry>,
+}
+
+impl FleetPlayed {
+    /// Whether everything held.
+    pub fn is_clean(&self) -> bool {
+        self.breaches.is_empty() && self.rules.is_empty() && self.crashed.is_empty()
+    }
+}
+
+impl From<FleetPlayed> for Played {
+    fn from(fleet: FleetPlayed) -> Self {
+        let FleetPlayed { breaches, rules, crashed, lateness, .. } = fleet;
+        Played {
+            breaches: rules.into_iter().map(|(_, breach)| breach).collect(),
+            accounts: std::collections::BTreeMap::new(),
+            lateness,
+            ledger: Vec::new(),
+            fleet: breaches,
+            crashed: crashed.into_iter().next(),
+        }
+    }
+}
+
+/// The common ledger of a scene.
+#[derive(Clone)]
+struct Book {
+    start: Instant,
+    entries: Arc<Mutex<Vec<FleetEntry>>>,
+}
+
+impl Book {
+    fn write(&self, event: FleetEvent) {
+        let mut entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
+        // Under the lock, so that the order of entries is that of their times.
+        let at = self.start.elapsed().as_secs_f64() * 1000.0;
+        entries.push(FleetEntry { at, event });
+    }
+}
+
+/// Plays a scene with the real program, in a folder of its own.
+///
+/// # Errors
+///
+/// The processes or the network can't be started.
+pub async fn play_scene(scene: &FleetScene, program: &Path, folder: &Path) -> io::Result<FleetPlayed> {
+    let lateness = Arc::new(AtomicU64::new(0));
+    let watch = tokio::spawn(watch_clock(lateness.clone()));
+    let mut fleet = Fleet::start(scene, program, folder).await?;
+    let book = Book { start: Instant::now(), entries: Arc::default() };
+    (0..scene.size).for_each(|n| book.write(FleetEvent::Started(n)));
+    let mut observers = JoinSet::new();
+    let mut clients = JoinSet::new();
+    for (n, seat) in fleet.seats.iter().enumerate() {
+        observers.spawn(observe(n, scene.size, seat.control(), book.clone()));
+        let (to, dests, ledger) = (seat.process.addr, seat.stage.dests.clone(), seat.ledger.clone());
+        // Some time before the end, so that every message can have its own.
+        let until = book.start + ms((scene.end - 3500.0).max(500.0));
+        clients.spawn(traffic(scene.seed << 8 | n as u64, scene.rate, to, dests, ledger, until));
+    }
+    let mut acting =
+        Acting { fleet: &mut fleet, book: book.clone(), later: Vec::new(), down: BTreeSet::new() };
+    let mut acts = scene.acts.iter().peekable();
+    let mut crashed = Vec::new();
+    let end = book.start + ms(scene.end);
+    while Instant::now() < end {
+        while let Some((_, act)) = acts.next_if(|(at, _)| Instant::now() >= book.start + ms(*at)) {
+            acting.begin(act).await?;
+        }
+        acting.due().await?;
+        for n in 0..scene.size {
+            if !acting.down.contains(&n)
+                && let Some(status) = acting.fleet.seats[n].process.ended()?
+            {
+                acting.down.insert(n);
+                crashed.push(format!("{n} ended: {status}"));
+            }
+        }
+        sleep(Duration::from_millis(5)).await;
+    }
+    let stalled: BTreeSet<usize> = scene.acts.iter().filter_map(|(_, act)| act.stalls()).collect();
+    while clients.join_next().await.is_some() {}
+    observers.shutdown().await;
+    for (from, to, relay) in fleet.links() {
+        let counts = &relay.counts;
+        let [packets, lost, streams] =
+            [&counts.carried, &counts.lost, &counts.streams].map(|c| c.load(Ordering::Relaxed));
+        book.write(FleetEvent::Carried { from, to, packets, lost, streams });
+    }
+    watch.abort();
+    let lateness = f64::from_bits(lateness.load(Ordering::Relaxed));
+    let (mut rules, mut taken_on) = (Vec::new(), 0);
+    for (n, seat) in fleet.seats.iter_mut().enumerate() {
+        let entries = seat.ledger.entries();
+        seat.process.kill().await?;
+        debug_assert!(seat.endpoints().count() > 0);
+        taken_on += accounts(&entries).values().map(|a| a.taken_on).sum::<usize>();
+        let broken = judge(&terms(lateness), &entries);
+        // One that was stopped could answer nothing in time; that it repeats nothing holds all the same.
+        let kept = broken.into_iter().filter(|b| b.rule != Rule::Lost || !stalled.contains(&n));
+        rules.extend(kept.map(|b| (n, b)));
+    }
+    let ledger = book.entries.lock().unwrap_or_else(PoisonError::into_inner).clone();
+    let breaches = judge_fleet(&fleet_terms(scene, lateness), scene.size, &ledger);
+    Ok(FleetPlayed { breaches, rules, taken_on, crashed, lateness, ledger })
+}
+
+/// Plays scenes beside each other and tells of each as it ends.
+///
+/// # Errors
+///
+/// One could not be played.
+pub async fn play_scenes(
+    scenes: Vec<FleetScene>,
+    program: &Path,
+    jobs: usize,
+    told: &mut impl FnMut(&FleetScene, &FleetPlayed),
+) -> io::Result<()> {
+    let room = Arc::new(tokio::sync::Semaphore::new(jobs.max(1)));
+    let mut runs = JoinSet::new();
+    for (n, scene) in scenes.into_iter().enumerate() {
+        let (room, program) = (room.clone(), program.to_owned());
+        runs.spawn(async move {
+            let _place = room.acquire_owned().await.map_err(io::Error::other)?;
+            // Short: a Unix socket's path has 107 bytes at most.
+            let folder = std::env::temp_dir().join(format!("yw-{}-{n}", std::process::id()));
+            let played = play_scene(&scene, &program, &folder).await;
+            if std::env::var_os("YARROWHILL_RIG_KEEP").is_none() {
+                // Nothing depends on what is left there.
+                let _ = std::fs::remove_dir_all(&folder);
+            }
+            played.map(|played| (scene, played))
+        });
+    }
+    while let Some(run) = runs.join_next().await {
+        let (scene, played) = run.map_err(io::Error::other)??;
+        told(&scene, &played);
+    }
+    Ok(())
+}
+
+/// What the protocol promises, by its period: a round of probes, the longest suspicion (four times its least, three
+/// periods times a logarithm), two lost probes, and for agreement the settling and the hold-down of those that flapped.
+fn fleet_terms(scene: &FleetScene, lateness: f64) -> FleetTerms {
+    let period = scene.period as f64;
+    let known = (scene.size as f64 + 18.0) * period;
+    // Two periods, seen through looks that are some time apart.
+    let settled = (2.0 * period - 2.0 * ASK_EVERY.as_secs_f64() * 1000.0 - lateness).max(0.0);
+    FleetTerms { known, agreed: known + 12.0 * period, settled, slack: 200.0 + 4.0 * lateness }
+}
+
+struct Acting<'a> {
+    fleet: &'a mut Fleet,
+    book: Book,
+    later: Vec<(Instant, Later)>,
+    /// Processes that are not there.
+    down: BTreeSet<usize>,
+}
+
+enum Later {
+    Wake(usize),
+    Cut { one: usize, cut: bool, every: f64, until: Instant },
+}
+
+impl Acting<'_> {
+    async fn begin(&mut self, act: &FleetAct) -> io::Result<()> {
+        match act {
+            FleetAct::Cut(from, to) => self.cut(*from, *to, true),
+            FleetAct::Part(a, b) => {
+                self.cut(*a, *b, true);
+                self.cut(*b, *a, true);
+            }
+            FleetAct::Islands(of) => {
+                let size = of.len();
+                (0..size * size).for_each(|n| self.cut(n / size, n % size, of[n / size] != of[n % size]));
+            }
+            FleetAct::Weather(weather) => {
+                for (_, _, relay) in self.fleet.links() {
+                    relay.set(Weather { cut: relay.weather().cut, ..*weather });
+                }
+                self.book.write(FleetEvent::Weather { rough: *weather != Weather::default() });
+            }
+            FleetAct::Link(from, to, weather) => {
+                if let Some(relay) = &self.fleet.relays[*from][*to] {
+                    relay.set(*weather);
+                }
+                // One link that is worse is what a detector must bear: nobody is excused by it, unless it is cut.
+                self.book.write(FleetEvent::Link { from: *from, to: *to, open: !weather.cut });
+            }
+            FleetAct::Heal => {
+                self.fleet.links().for_each(|(_, _, relay)| relay.set(Weather::default()));
+                let links: Vec<_> = self.fleet.links().map(|(from, to, _)| (from, to)).collect();
+                for (from, to) in links {
+                    self.book.write(FleetEvent::Link { from, to, open: true });
+                }
+                self.book.write(FleetEvent::Weather { rough: false });
+            }
+            FleetAct::Stall(n, span) if !self.down.contains(n) => {
+                self.fleet.seats[*n].process.signal("STOP").await?;
+                self.book.write(FleetEvent::Stopped(*n));
+                self.later.push((Instant::now() + ms(*span), Later::Wake(*n)));
+            }
+            FleetAct::Kill(n) if self.down.insert(*n) => {
+                self.fleet.seats[*n].process.kill().await?;
+                self.book.write(FleetEvent::Ended(*n));
+            }
+            FleetAct::Terminate(n) if self.down.insert(*n) => {
+                let process = &mut self.fleet.seats[*n].process;
+                // One that is stopped would not see it.
+                process.signal("CONT").await?;
+                process.signal("TERM").await?;
+                self.book.write(FleetEvent::Ended(*n));
+                if process.exited(Duration::from_millis(3700)).await.is_err() {
+                    process.kill().await?;
+                }
+            }
+            FleetAct::Start(n, folder) if self.down.remove(n) => {
+                self.fleet.seats[*n].start_again(*folder)?;
+                self.book.write(FleetEvent::Started(*n));
+            }
+            FleetAct::Flap(one, every, span) => {
+                let until = Instant::now() + ms(*span);
+                self.later.push((Instant::now(), Later::Cut { one: *one, cut: true, every: *every, until }));
+            }
+            FleetAct::Flood(n, packets) => {
+                let to: Option<SocketAddr> =
+                    self.fleet.relays.iter().flat_map(|row| row.get(*n)).flatten().map(|r| r.at).next();
+                let own = self.own_address(*n)?;
+                let packets = *packets;
+                tokio::spawn(async move { flood(own.or(to), packets).await });
+            }
+            FleetAct::Stall(..) | FleetAct::Kill(_) | FleetAct::Terminate(_) | FleetAct::Start(..) => {}
+        }
+        Ok(())
+    }
+
+    /// Where a process listens for the others, from its own document.
+    fn own_address(&self, n: usize) -> io::Result<Option<SocketAddr>> {
+        let text = std::fs::read_to_string(self.fleet.seats[n].process.folder().join("fleet.kdl"))?;
+        let line = text.lines().find(|line| line.contains(&format!("\"n{n}\"")));
+        Ok(line.and_then(|line| line.split('"').nth(3)).and_then(|at| at.parse().ok()))
+    }
+
+    fn cut(&self, from: usize, to: usize, cut: bool) {
+        let Some(relay) = &self.fleet.relays[from][to] else { return };
+        let weather = relay.weather();
+        if weather.cut != cut {
+            relay.set(Weather { cut, ..weather });
+            self.book.write(FleetEvent::Link { from, to, open: !cut });
+        }
+    }
+
+    async fn due(&mut self) -> io::Result<()> {
+        let now = Instant::now();
+        while let Some(n) = self.later.iter().position(|(at, _)| *at <= now) {
+            let (at, later) = self.later.remove(n);
+            match later {
+                Later::Wake(n) => {
+                    if !self.down.contains(&n) {
+                        // Before it runs: what it says then must hold.
+                        self.book.write(FleetEvent::Woken(n));
+                        self.fleet.seats[n].process.signal("CONT").await?;
+                    }
+                }
+                Later::Cut { one, cut, every, until } => {
+                    let cut = cut && at < until;
+                    for other in (0..self.fleet.seats.len()).filter(|other| *other != one) {
+                        self.cut(one, other, cut);
+                        self.cut(other, one, cut);
+                    }
+                    if at < until {
+                        let next = Later::Cut { one, cut: !cut, every, until };
+                        self.later.push((at + ms(every), next));
+                    }
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+impl FleetAct {
+    fn stalls(&self) -> Option<usize> {
+        match self {
+            FleetAct::Stall(n, _) => Some(*n),
+            _ => None,
+        }
+    }
+}
+
+/// Rubbish from nobody.
+async fn flood(to: Option<SocketAddr>, packets: usize) {
+    let Some(to) = to else { return };
+    let Ok(socket) = UdpSocket::bind("127.0.0.1:0").await else { return };
+    for n in 0..packets {
+        let _ = socket.send_to(&[b'y'; 900], to).await;
+        if n % 64 == 0 {
+            sleep(Duration::from_millis(1)).await;
+        }
+    }
+}
+
+/// Asks a process again and again what it believes.
+async fn observe(who: usize, size: usize, control: PathBuf, book: Book) {
+    loop {
+        if let Ok(Some(claim)) = timeout(ANSWER, claim(who, size, &control)).await {
+            book.write(FleetEvent::Told(claim));
+        }
+        sleep(ASK_EVERY).await;
+    }
+}
+
+/// The rig's own reading of what the control socket says: a mistake in the program's client can't hide in it.
+async fn claim(who: usize, size: usize, control: &Path) -> Option<Claim> {
+    let mut stream = UnixStream::connect(control).await.ok()?;
+    stream.write_all(b"{\"ask\":\"members\"}\n").await.ok()?;
+    let mut text = Vec::new();
+    stream.read_to_end(&mut text).await.ok()?;
+    let told: Value = serde_json::from_slice(&text).ok()?;
+    let told = told.get("ok")?;
+    let permits = &told["permits"];
+    let may = |what: &str| permits[what].as_bool().unwrap_or(false);
+    let member = |n: usize| {
+        let name = format!("n{n}");
+        told["members"].as_array()?.iter().find(|m| m["name"] == name.as_str())
+    };
+    let states =
+        (0..size).map(|n| member(n)?["state"].as_str().map(str::to_lowercase)).collect::<Option<Vec<_>>>()?;
+    let voters = (0..size).filter(|n| member(*n).is_some_and(|m| m["votes"] == true)).collect();
+    let there = (0..size).filter(|n| member(*n).is_some_and(|m| m["in_view"] == true)).collect();
+    Some(Claim {
+        who,
+        span: [told["at"].as_u64()?, told["until"].as_u64()?],
+        standing: told["standing"].as_str()?.to_owned(),
+        acts: may("hold_duty") || may("configure"),
+        serves: [may("take_on"), may("send_on"), may("ready")],
+        view: told["view"].as_str()?.to_owned(),
+        voters,
+        there,
+        states,
+        senders: usize::try_from(told["senders"].as_u64()?).ok()?,
+    })
+}
+
+/// A client of one process, that hands in messages one after another.
+async fn traffic(
+    seed: u64,
+    rate: f64,
+    to: SocketAddr,
+    dests: Vec<Destination>,
+    ledger: Ledger,
+    until: Instant,
+) {
+    let mut rng = Rng::seed_from_u64(seed);
+    let mut clients = JoinSet::new();
+    let mut at = Instant::now();
+    for n in 0u64.. {
+        at += Duration::from_secs_f64(-rng.random::<f64>().max(1e-9).ln() / rate.max(0.1));
+        if at > until {
+            break;
+        }
+        sleep_until(at).await;
+        let (class, deadline_ms) = class(&mut rng);
+        let place = rng.random_range(0..dests.len());
+        let dest = dests[place].clone();
+        let message = Message {
+            id: format!("{seed:x}-{n}"),
+            class: class.to_owned(),
+            dest: FIRST_DEST + place as u64,
+            owner: "acme".to_owned(),
+            deadline_ms,
+            body: rng.random_range(0..300),
+        };
+        let ledger = ledger.clone();
+        dest.expect(&message.id, ledger.now() + deadline_ms as f64);
+        clients.spawn(async move {
+            hand_in(to, &message, Patience::default(), &ledger).await;
+        });
+        while clients.try_join_next().is_some() {}
+    }
+    while clients.join_next().await.is_some() {}
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -3,6 +3,8 @@
 //!
 //! - `script`, `play`, `sweep`: what a seed draws, one run of it, many beside each other
 //! - `load`: many messages a second
+//! - `count`: what many forwarders' logs tell together
+//! - `fleet`: several processes that know each other, with faults between them
 //! - `bugs`, `scratch`: known bugs as patches, and the program built with one of them
 //!
 //! ```
@@ -11,6 +13,8 @@
 //! ```
 
 mod bugs;
+mod count;
+mod fleet;
 mod load;
 mod play;
 mod scratch;
@@ -18,6 +22,10 @@
 mod sweep;
 
 pub use bugs::{Bug, Scene};
+pub use count::{Cell, Counts, Kept, Suspect, count};
+pub use fleet::{
+    FleetAct, FleetPlayed, FleetScene, Folder, SceneError, Weather, directed, play_scene, play_scenes,
+};
 pub use load::{Load, Loaded, play_load};
 pub use play::{Played, play};
 pub use scratch::{Scratch, ScratchError, patched};
--- a/crates/rig/src/load.rs
+++ b/crates/rig/src/load.rs
@@ -264,6 +264,6 @@
 impl From<Loaded> for Played {
     fn from(loaded: Loaded) -> Self {
         let Loaded { breaches, accounts, lateness, crashed, .. } = loaded;
-        Played { breaches, accounts, lateness, ledger: Vec::new(), crashed }
+        Played { breaches, accounts, fleet: Vec::new(), lateness, ledger: Vec::new(), crashed }
     }
 }
--- a/crates/rig/src/play.rs
+++ b/crates/rig/src/play.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, sleep_until};
-use yarrowhill_checker::{Account, Breach, Entry, Heard, Rule, accounts, judge};
+use yarrowhill_checker::{Account, Breach, Entry, FleetBreach, Heard, Rule, accounts, judge};
 use yarrowhill_standins::{
     Destination, Discovery, Endpoint, Ledger, Line, Message, Patience, Process, Rng, Setup, free_address,
     hand_in,
@@ -36,6 +36,8 @@
     pub lateness: f64,
     /// All that stand-ins saw.
     pub ledger: Vec<Entry>,
+    /// What several processes should not have believed or done, where there were several.
+    pub fleet: Vec<FleetBreach>,
     /// Why the program ended although nobody told it to.
     pub crashed: Option<String>,
 }
@@ -43,7 +45,7 @@
 impl Played {
     /// Whether all rules were kept and the program lived.
     pub fn is_clean(&self) -> bool {
-        self.breaches.is_empty() && self.crashed.is_none()
+        self.breaches.is_empty() && self.fleet.is_empty() && self.crashed.is_none()
     }
 }
 
@@ -136,7 +138,14 @@
         // What stood in damaged bytes may be lost; that nothing runs twice holds all the same.
         breaches.retain(|breach| breach.rule != Rule::Lost);
     }
-    Ok(Played { accounts: accounts(&entries), breaches, lateness, ledger: entries, crashed })
+    Ok(Played {
+        accounts: accounts(&entries),
+        breaches,
+        fleet: Vec::new(),
+        lateness,
+        ledger: entries,
+        crashed,
+    })
 }
 
 impl World {
--- a/crates/rig/src/scratch.rs
+++ b/crates/rig/src/scratch.rs
@@ -133,19 +133,37 @@
             let emptied = path.ancestors().skip(1).take_while(|folder| *folder != tree);
             let _ = emptied.map(fs::remove_dir).take_while(Result::is_ok).count();
         }
-        let target = self.folder.join("build");
+        let to = self.folder.join("bin").join(bug.name());
+        self.cargo(bug, "yarrowhill-rig", "yarrowhill-faulty", &to)?;
+        Ok(to)
+    }
+
+    /// Attacks a bug of membership without any process: the first line that tells of it, if it is caught. The tree is
+    /// that of the last [`Scratch::build`].
+    ///
+    /// # Errors
+    ///
+    /// It does not build, or can't be run.
+    pub fn attack(&self, bug: Bug) -> Result<Option<String>, ScratchError> {
+        let program = self.folder.join("bin").join(format!("attack-{}", bug.name()));
+        self.cargo(bug, "yarrowhill-attack", "attack", &program)?;
+        for args in [&["search"][..], &["schedules", "--seeds", "200"]] {
+            let done = Command::new(&program).args(args).output().map_err(at(&program))?;
+            if !done.status.success() {
+                let text = String::from_utf8_lossy(&done.stdout);
+                let told = text.lines().find(|line| line.starts_with("  ") || line.starts_with("seed"));
+                return Ok(Some(format!("{}: {}", args[0], told.unwrap_or("it ended").trim())));
+            }
+        }
+        Ok(None)
+    }
+
+    /// Builds a program of the tree and puts it in a place of its own.
+    fn cargo(&self, bug: Bug, package: &str, bin: &str, to: &Path) -> Result<(), ScratchError> {
+        let (tree, target) = (self.folder.join("tree"), self.folder.join("build"));
         let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
         let built = Command::new(cargo)
-            .args([
-                "build",
-                "--quiet",
-                "--locked",
-                "--offline",
-                "-p",
-                "yarrowhill-rig",
-                "--bin",
-                "yarrowhill-faulty",
-            ])
+            .args(["build", "--quiet", "--locked", "--offline", "-p", package, "--bin", bin])
             .env("CARGO_TARGET_DIR", &target)
             .current_dir(&tree)
             .stdin(Stdio::null())
@@ -154,9 +172,9 @@
         if !built.success() {
             return Err(ScratchError::Build(bug.name()));
         }
-        let (from, to) = (target.join("debug/yarrowhill-faulty"), self.folder.join("bin").join(bug.name()));
-        fs::copy(&from, &to).map_err(at(&from))?;
-        Ok(to)
+        let from = target.join("debug").join(bin);
+        fs::copy(&from, to).map_err(at(&from))?;
+        Ok(())
     }
 }
 
--- /dev/null
+++ b/crates/rig/tests/fleet.rs
@@ -0,0 +1,32 @@
+//! Several processes of the real program, with faults between them.
+//!
+//! More by command: `rig fleet --directed`, `rig fleet --seeds 200`.
+
+use std::path::Path;
+use yarrowhill_rig::{FleetPlayed, FleetScene, directed, play_scenes};
+
+const SEEDS: u64 = 30;
+/// Scenes beside each other: they wait more than they work.
+const JOBS: usize = 10;
+
+/// A breach is a failure the first time.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_processes_believe_and_do_holds_under_faults() {
+    let program = Path::new(env!("CARGO_BIN_EXE_yarrowhill-faulty"));
+    let mut scenes = directed();
+    scenes.extend((0..SEEDS).map(FleetScene::draw));
+    let count = scenes.len();
+    let (mut unclean, mut taken_on) = (Vec::new(), 0);
+    let mut told = |scene: &FleetScene, played: &FleetPlayed| {
+        taken_on += played.taken_on;
+        if !played.is_clean() {
+            let FleetPlayed { breaches, rules, crashed, lateness, .. } = played;
+            println!("{}: {breaches:#?} {rules:#?} {crashed:?}, {lateness:.0} ms late", scene.name);
+            unclean.push(scene.name.clone());
+        }
+    };
+    play_scenes(scenes, program, JOBS, &mut told).await.expect("the scenes can be played");
+    assert!(unclean.is_empty(), "{unclean:?}");
+    // Rules that nothing is taken on under are kept by nobody.
+    assert!(taken_on > 100 * count, "{taken_on} messages taken on");
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -22,5 +22,5 @@
 pub use discovery::{Discovery, Line};
 pub use endpoint::{Destination, Endpoint, Faults, Spoilt};
 pub use ledger::Ledger;
-pub use process::{Process, Setup};
+pub use process::{Process, Setup, is_ready};
 pub use rng::Rng;
--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -85,6 +85,17 @@
         self.ready().await
     }
 
+    /// Starts it again with a configuration, and does not wait until it is ready.
+    ///
+    /// # Errors
+    ///
+    /// It can't be started.
+    pub fn spawn_again(&mut self, config: &Value) -> io::Result<()> {
+        std::fs::write(self.setup.folder.join("config.json"), config.to_string())?;
+        self.child = spawn(&self.setup)?;
+        Ok(())
+    }
+
     /// SIGKILL.
     ///
     /// # Errors
@@ -151,7 +162,8 @@
     }
 }
 
-async fn is_ready(addr: SocketAddr) -> bool {
+/// Whether a forwarder answers that it is ready.
+pub async fn is_ready(addr: SocketAddr) -> bool {
     let asked = async {
         let mut wire = Wire::new(TcpStream::connect(addr).await.ok()?);
         wire.write(b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n").await.ok()?;
--- a/crates/yarrowhill/src/config.rs
+++ b/crates/yarrowhill/src/config.rs
@@ -27,6 +27,14 @@
     /// Too many shards, or none, or this build has one alone.
     #[error("{0} shards: this build can have 1 to {1}")]
     Shards(usize, usize),
+    /// A fleet's document is named, and this build knows no fleets.
+    #[cfg(not(feature = "members"))]
+    #[error("a fleet is named, and this build knows none")]
+    Members,
+    /// A fleet's document is named, and the forwarder has no name.
+    #[cfg(feature = "members")]
+    #[error("a fleet is named, and no name of this forwarder")]
+    Nameless,
     /// A setting cannot be read.
     #[error("settings: {0}")]
     Settings(WireError),
@@ -65,6 +73,12 @@
     /// Engines side by side, each on a thread of its own.
     #[serde(default = "one")]
     shards: usize,
+    #[cfg(feature = "members")]
+    #[serde(default)]
+    name: Option<String>,
+    /// The fleet's document, by its path from this file's folder.
+    #[serde(default)]
+    fleet: Option<PathBuf>,
 }
 
 fn one() -> usize {
@@ -85,6 +99,9 @@
     pub(crate) durability: Durability,
     #[cfg_attr(not(feature = "shards"), expect(dead_code, reason = "there is one"))]
     pub(crate) shards: usize,
+    /// Its name, and the fleet's document, where it is to be a member.
+    #[cfg(feature = "members")]
+    pub(crate) member: Option<(String, PathBuf)>,
 }
 
 impl Config {
@@ -118,6 +135,16 @@
         if !(1..=SHARDS_MOST).contains(&file.shards) {
             return Err(ConfigError::Shards(file.shards, SHARDS_MOST));
         }
+        #[cfg(not(feature = "members"))]
+        if file.fleet.is_some() {
+            return Err(ConfigError::Members);
+        }
+        #[cfg(feature = "members")]
+        let member = match (file.name, file.fleet) {
+            (_, None) => None,
+            (None, Some(_)) => return Err(ConfigError::Nameless),
+            (Some(name), Some(fleet)) => Some((name, path.parent().unwrap_or(Path::new("")).join(fleet))),
+        };
         let (settings, names) = from_json(&file.settings).map_err(ConfigError::Settings)?;
         Ok(Config {
             listen: file.listen,
@@ -129,6 +156,8 @@
             shards: file.shards,
             settings,
             names,
+            #[cfg(feature = "members")]
+            member,
             durability: match file.durability {
                 DurabilityName::Process => Durability::Process,
                 DurabilityName::Disk => Durability::Disk,
--- a/crates/yarrowhill/src/daemon.rs
+++ b/crates/yarrowhill/src/daemon.rs
@@ -1,6 +1,7 @@
 //! The daemon: an engine with HTTP round it, one process under the platform's limits.
 
 use crate::config::Config;
+use crate::joined::Joined;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -50,6 +51,10 @@
     /// A shard has ended although nobody told it to.
     #[error("shard {0} has ended")]
     Shard(usize),
+    /// It can't be a member of its fleet.
+    #[cfg(feature = "members")]
+    #[error("fleet: {0}")]
+    Fleet(String),
     /// A socket or a signal cannot be had.
     #[error("{0}")]
     Io(#[from] io::Error),
@@ -64,8 +69,9 @@
 
 /// Reads the file again at each SIGHUP and passes on discovery's address; all else that the file tells holds
 /// for the whole life of the process. A file that can't be read changes nothing.
-pub(crate) async fn reload(mut hangup: Signal, discovery: watch::Sender<SocketAddr>) {
+pub(crate) async fn reload(mut hangup: Signal, discovery: watch::Sender<SocketAddr>, joined: Joined) {
     while hangup.recv().await.is_some() {
+        joined.reload();
         match Config::from_env() {
             Ok(config) => {
                 discovery.send_if_modified(|at| {
@@ -100,6 +106,7 @@
     let (inputs, received) = mpsc::channel(INPUTS);
     let (notices, batches) = mpsc::channel(1);
     tracing::debug!(settings = ?config.settings, "starts");
+    let joined = Joined::join(&config).await?;
     let watcher = watcher(&config);
     let options = Options {
         settings: config.settings.clone(),
@@ -112,14 +119,18 @@
         shard: None,
     };
     let idle_close = Duration::from_micros(config.settings.idle_close.max(0) as u64);
-    let engine = Engine::start(options, Pool::new(idle, idle_close), notices, inputs.clone())?;
+    let pool = joined.guard_calls(Pool::new(idle, idle_close));
+    let engine = Engine::start(options, pool, notices, inputs.clone())?;
+    joined.tell_senders(std::slice::from_ref(&inputs));
     let (told, at) = watch::channel(config.discovery);
     tokio::spawn(discovery::watch(at.clone(), watcher, inputs.clone()));
     tokio::spawn(notices::send_all(at, batches, inputs.clone()));
-    tokio::spawn(reload(hangup, told));
+    tokio::spawn(reload(hangup, told, joined.clone()));
     let close = inputs.clone();
+    let leaving = joined.clone();
     tokio::spawn(async move {
         terminate.recv().await;
+        leaving.leave();
         // The engine is gone only when the process ends.
         let _ = close.send(Input::Close).await;
     });
@@ -127,6 +138,7 @@
     let (phase, closing) = watch::channel(Phase::Open);
     let bodies = config.limits.memory_mb.max(1) * 1024 / BODIES;
     let intake = Intake::new(config.names, config.settings, inputs, closing, bodies);
+    let intake = joined.guard_clients(intake);
     let front = tokio::spawn(yarrowhill_http::serve(listener, clients, Arc::new(intake)));
     yarrowhill_engine::run(engine, received, phase, front).await;
     Ok(())
--- a/crates/yarrowhill/src/lib.rs
+++ b/crates/yarrowhill/src/lib.rs
@@ -2,11 +2,16 @@
 
 mod config;
 mod daemon;
+mod joined;
+#[cfg(feature = "members")]
+mod members;
 #[cfg(feature = "shards")]
 mod sharded;
 
 pub use config::{Config, ConfigError};
 pub use daemon::{RunError, run};
+#[cfg(feature = "members")]
+pub use members::CONTROL;
 
 use std::error::Error;
 
--- a/crates/yarrowhill/src/main.rs
+++ b/crates/yarrowhill/src/main.rs
@@ -2,6 +2,8 @@
 
 #[cfg(feature = "demo")]
 mod demo;
+#[cfg(feature = "members")]
+mod operate;
 #[cfg(feature = "routes")]
 mod routes;
 
@@ -34,6 +36,22 @@
         #[command(subcommand)]
         what: Documents,
     },
+    /// Shows who of the fleet is there, as a running forwarder knows it, and what follows for it.
+    #[cfg(feature = "members")]
+    Members {
+        /// The forwarder's state folder; without it BALANCER_STATE.
+        #[arg(long)]
+        state: Option<PathBuf>,
+        /// Its control socket.
+        #[arg(long)]
+        socket: Option<PathBuf>,
+        /// Again each second.
+        #[arg(long)]
+        watch: bool,
+        /// For programs: one JSON object a look.
+        #[arg(long)]
+        json: bool,
+    },
     /// Shows the forwarder at work between stand-ins on loopback, some of them failing, and accounts for every
     /// message.
     #[cfg(feature = "demo")]
@@ -77,6 +95,10 @@
     let done = match cli.command.unwrap_or(Command::Run) {
         Command::Run => start(),
         Command::CheckConfig { file } => check(&file),
+        #[cfg(feature = "members")]
+        Command::Members { state, socket, watch, json } => {
+            operate::socket(socket, state).and_then(|socket| operate::members(&socket, watch, json))
+        }
         #[cfg(feature = "routes")]
         Command::Config { what: Documents::Check { path, json } } => return routes::check(&path, json),
         #[cfg(feature = "demo")]
--- /dev/null
+++ b/crates/yarrowhill/src/members.rs
@@ -0,0 +1,117 @@
+//! The forwarder as a member of its fleet: wires the package that speaks with the others to the engine and the fronts.
+
+use crate::config::Config;
+use crate::daemon::RunError;
+use serde_json::Value;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use tokio::sync::mpsc::Sender;
+use yarrowhill_engine::{Gate, Input};
+use yarrowhill_fleet::{Document, Handle, Node, Options, read, serve};
+
+/// The control socket's name in the state folder.
+pub const CONTROL: &str = "control";
+
+/// Its place in the fleet.
+#[derive(Clone)]
+pub(crate) struct Member {
+    handle: Handle,
+    name: String,
+    document: PathBuf,
+}
+
+impl std::fmt::Debug for Member {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Member").field("name", &self.name).finish_non_exhaustive()
+    }
+}
+
+impl Gate for Member {
+    fn may_send(&self) -> bool {
+        self.handle.permits().send_on
+    }
+
+    fn may_take_on(&self) -> bool {
+        self.handle.permits().take_on
+    }
+
+    fn is_ready(&self) -> bool {
+        self.handle.permits().ready
+    }
+}
+
+impl Member {
+    /// Joins the fleet that the configuration names, if it names one.
+    ///
+    /// # Errors
+    ///
+    /// The document can't be read, or the sockets or the folder can't be had.
+    pub(crate) async fn join(config: &Config) -> Result<Option<Self>, RunError> {
+        let Some((name, path)) = &config.member else { return Ok(None) };
+        let document = document(path, name)?;
+        let options = Options { name, document, state: &config.state, seed: config.seed };
+        let node = Node::start(options).await.map_err(|e| RunError::Fleet(e.to_string()))?;
+        let handle = node.handle();
+        let told = handle.clone();
+        let answer = move |what: String, _: Value| {
+            let told = told.clone();
+            async move {
+                match what.as_str() {
+                    "members" => serde_json::to_value(told.status()).map_err(|e| e.to_string()),
+                    other => Err(format!("{other:?} is unknown; members is known")),
+                }
+            }
+        };
+        // A forwarder that nobody can ask goes on serving.
+        match serve(&config.state.join(CONTROL), answer) {
+            Ok(served) => drop(tokio::spawn(served)),
+            Err(e) => tracing::error!("control: {e}"),
+        }
+        tokio::spawn(node.run());
+        Ok(Some(Member { handle, name: name.clone(), document: path.clone() }))
+    }
+
+    /// As what is looked at before a byte leaves.
+    pub(crate) fn gate(of: &Option<Self>) -> Option<Arc<dyn Gate>> {
+        of.clone().map(|member| Arc::new(member) as Arc<dyn Gate>)
+    }
+
+    /// Tells engines among how many what all share is divided, now and at each change.
+    pub(crate) fn tell_senders(&self, engines: Vec<Sender<Input>>) {
+        let mut senders = self.handle.senders();
+        senders.mark_changed();
+        tokio::spawn(async move {
+            while senders.changed().await.is_ok() {
+                let now = *senders.borrow_and_update();
+                for engine in &engines {
+                    // An engine is gone only when the process ends.
+                    let _ = engine.send(Input::Senders(now)).await;
+                }
+            }
+        });
+    }
+
+    /// Reads the document again: what can't be read, or does not follow, changes nothing.
+    pub(crate) fn reload(&self) {
+        let changed = document(&self.document, &self.name)
+            .and_then(|d| self.handle.change(d).map_err(|e| RunError::Fleet(e.to_string())));
+        match changed {
+            Ok(()) => tracing::info!("fleet: document read again"),
+            Err(e) => tracing::error!("fleet: document not read again: {e}"),
+        }
+    }
+
+    /// The process is to end.
+    pub(crate) fn leave(&self) {
+        self.handle.leave();
+    }
+}
+
+fn document(path: &Path, name: &str) -> Result<Document, RunError> {
+    let text =
+        std::fs::read_to_string(path).map_err(|e| RunError::Fleet(format!("{}: {e}", path.display())))?;
+    read(&path.display().to_string(), &text, name).map_err(|faults| {
+        let told: Vec<String> = faults.iter().map(ToString::to_string).collect();
+        RunError::Fleet(told.join("; "))
+    })
+}
--- /dev/null
+++ b/crates/yarrowhill/src/operate.rs
@@ -0,0 +1,100 @@
+//! What operators ask a running forwarder: over its control socket, as text or JSON.
+
+use serde_json::Value;
+use std::error::Error;
+use std::fmt::Write;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use yarrowhill_fleet::{MemberStatus, Status, ask};
+
+/// Between two looks of `--watch`.
+const LOOK: Duration = Duration::from_secs(1);
+
+/// Where the control socket is: as named, in the state folder as named, or in that of the environment.
+pub fn socket(named: Option<PathBuf>, state: Option<PathBuf>) -> Result<PathBuf, Box<dyn Error>> {
+    if let Some(path) = named {
+        return Ok(path);
+    }
+    let state = state.or_else(|| std::env::var_os("BALANCER_STATE").map(PathBuf::from));
+    let state = state.ok_or("name the forwarder: --state FOLDER, --socket PATH or BALANCER_STATE")?;
+    Ok(state.join(yarrowhill::CONTROL))
+}
+
+/// Shows who is there, once or again and again.
+pub fn members(socket: &Path, watch: bool, json: bool) -> Result<(), Box<dyn Error>> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(async {
+        loop {
+            let told = ask(socket, "members", Value::Null).await?;
+            if json {
+                println!("{told}");
+            } else {
+                print!("{}", text(&serde_json::from_value(told)?));
+            }
+            if !watch {
+                return Ok(());
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+    })
+}
+
+fn text(status: &Status) -> String {
+    let Status { name, incarnation, standing, view, there, roster, senders, permits, .. } = status;
+    let mut text = format!(
+        "{name} ({incarnation}) is {standing}: {there} of {roster} in view {view}, roster {}\n",
+        status.roster_version
+    );
+    let yes = |may| if may { "yes" } else { "no" };
+    let _ = writeln!(
+        text,
+        "takes on {}, sends on {}, holds duties {}, applies configuration {}, ready {}; limits shared by {senders}",
+        yes(permits.take_on),
+        yes(permits.send_on),
+        yes(permits.hold_duty),
+        yes(permits.configure),
+        yes(permits.ready)
+    );
+    let _ = writeln!(
+        text,
+        "{:16} {:8} {:>8} {:9} {:>8} {:>8} {:16} {:>9} in view",
+        "member", "zone", "boot", "state", "since", "heard", "by", "support"
+    );
+    status.members.iter().for_each(|member| row(&mut text, member));
+    let [strangers, words, support] = status.refused;
+    let [spoilt, unknown] = status.dropped;
+    if status.refused != [0; 3] || status.dropped != [0; 2] {
+        let _ = writeln!(
+            text,
+            "not believed: {strangers} packets and {unknown} addresses of strangers, {spoilt} spoilt, {words} words, {support} supports"
+        );
+    }
+    text
+}
+
+fn row(text: &mut String, member: &MemberStatus) {
+    let span = |ms: u64| match ms {
+        0..10_000 => format!("{:.1} s", ms as f64 / 1000.0),
+        10_000..600_000 => format!("{} s", ms / 1000),
+        _ => format!("{} min", ms / 60_000),
+    };
+    let MemberStatus { name, zone, incarnation, state, .. } = member;
+    let heard = member.heard_ms.map_or("never".to_owned(), span);
+    let support = match (member.votes, member.support_ms) {
+        (false, _) => "-".to_owned(),
+        (true, 0) => "none".to_owned(),
+        (true, ms) => span(ms),
+    };
+    let _ = write!(
+        text,
+        "{name:16} {zone:8} {incarnation:>8} {:9} {:>8} {heard:>8} {:16} {support:>9} {}",
+        state.name(),
+        span(member.since_ms),
+        member.by.as_deref().unwrap_or("-"),
+        if member.in_view { "yes" } else { "no" }
+    );
+    match &member.other_roster {
+        Some(theirs) => drop(writeln!(text, "  goes by roster {theirs}")),
+        None => text.push('\n'),
+    }
+}
--- a/crates/yarrowhill/src/sharded.rs
+++ b/crates/yarrowhill/src/sharded.rs
@@ -3,6 +3,7 @@
 
 use crate::config::Config;
 use crate::daemon::{BODIES, INPUTS, JOURNAL_PART, RunError, Sockets, reload, watcher};
+use crate::joined::Joined;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::thread;
@@ -30,6 +31,7 @@
     /// Clients are served no longer.
     served: watch::Receiver<bool>,
     started: oneshot::Sender<Result<(), JournalError>>,
+    joined: Joined,
 }
 
 /// Runs until SIGTERM.
@@ -38,6 +40,7 @@
     let hangup = signal(SignalKind::hangup())?;
     let mut terminate = signal(SignalKind::terminate())?;
     let shards = config.shards;
+    let joined = Joined::join(&config).await?;
     let watcher = watcher(&config);
     let Sockets { clients, idle } = Sockets::share(&config);
     let journal_limit = (config.limits.disk_mb * JOURNAL_PART) as u64 / shards as u64;
@@ -59,21 +62,25 @@
         let idle_close = Duration::from_micros(config.settings.idle_close.max(0) as u64);
         let idle = (idle / shards).max(1);
         let (discovery, served) = (at.clone(), served.clone());
-        let shard = Work { options, idle, idle_close, discovery, inputs, received, phase, served, started };
+        let joined = joined.clone();
+        let shard =
+            Work { options, idle, idle_close, discovery, inputs, received, phase, served, started, joined };
         let name = format!("shard-{number}");
         let thread = thread::Builder::new().name(name).spawn(move || work(shard))?;
         threads.spawn_blocking(move || (number, thread.join().is_ok()));
         start.await.map_err(|_| RunError::Shard(number))??;
     }
+    joined.tell_senders(&engines);
     let engines = Engines::new(engines);
     let (lists, listed) = mpsc::channel(INPUTS);
     tokio::spawn(discovery::watch(at, watcher, lists));
     tokio::spawn(fan_out(listed, engines.clone()));
-    tokio::spawn(reload(hangup, told));
+    tokio::spawn(reload(hangup, told, joined.clone()));
     let listener = TcpListener::bind(config.listen).await?;
     let (phase, closing) = watch::channel(Phase::Open);
     let bodies = config.limits.memory_mb.max(1) * 1024 / BODIES;
     let intake = Intake::new(config.names, config.settings, engines.clone(), closing, bodies);
+    let intake = joined.guard_clients(intake);
     let mut front = tokio::spawn(yarrowhill_http::serve(listener, clients, Arc::new(intake)));
     for shard in &phases {
         tokio::spawn(least(shard.clone(), phases.clone(), phase.clone()));
@@ -83,6 +90,7 @@
         tokio::select! {
             _ = terminate.recv(), if !ends => {
                 ends = true;
+                joined.leave();
                 for engine in engines.all() {
                     // An engine is gone only when the process ends.
                     let _ = engine.send(Input::Close).await;
@@ -123,14 +131,16 @@
 
 /// One shard, from its start to its end.
 fn work(shard: Work) {
-    let Work { options, idle, idle_close, discovery, inputs, received, phase, mut served, started } = shard;
+    let Work { options, idle, idle_close, discovery, inputs, received, phase, mut served, started, joined } =
+        shard;
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(e) => return drop(started.send(Err(e.into()))),
     };
     runtime.block_on(async move {
         let (notices, batches) = mpsc::channel(1);
-        let engine = match Engine::start(options, Pool::new(idle, idle_close), notices, inputs.clone()) {
+        let pool = joined.guard_calls(Pool::new(idle, idle_close));
+        let engine = match Engine::start(options, pool, notices, inputs.clone()) {
             Ok(engine) => engine,
             Err(e) => return drop(started.send(Err(e))),
         };
