Cut a limit into rights that members lend and borrow; play two versions beside each other

Need: each forwarder guards what all share alone, and what is harmless in one is harm in three hundred. A member that hears nothing must stay within bounds, and most of a limit must be used while the fleet is whole.

Change: rights (no I/O, no clock): a floor for each, lent under leases to a keeper that grants it by water filling; no agreement on who keeps, nothing on disk. The search found that a keeper that starts again under its name granted a promise a second time: it waits for what it granted before to run out. The daemon does not use rights yet.

--- a/crates/attack/src/bin/attack.rs
+++ b/crates/attack/src/bin/attack.rs
@@ -3,7 +3,10 @@
 use clap::{Parser, Subcommand};
 use hdrhistogram::Histogram;
 use std::process::ExitCode;
-use yarrowhill_attack::{IdentityWorld, Schedule, SupportWorld, measure, plain, play};
+use yarrowhill_attack::{
+    Even, IdentityWorld, RightsWorld, Schedule, SupportWorld, measure, measure_rights, plain, play,
+    play_rights,
+};
 use yarrowhill_kernel::{Found, search};
 
 /// Attacks the packages without I/O, clocks and chance.
@@ -35,6 +38,15 @@
         #[arg(long, default_value_t = 3_000_000)]
         most: usize,
     },
+    /// Plays seeded faults over rights in virtual time.
+    Rights {
+        /// How many seeds.
+        #[arg(long, default_value_t = 1000)]
+        seeds: u64,
+        /// Members, to be measured.
+        #[arg(long, value_delimiter = ',', default_value = "3,30,300")]
+        sizes: Vec<usize>,
+    },
     /// Measures fleets of these sizes.
     Measure {
         /// Members.
@@ -69,7 +81,22 @@
         Command::Search { most } => {
             let one = told("support for views", &search(&SupportWorld::default(), most));
             let two = told("identity over restarts", &search(&IdentityWorld { starts: 2 }, most));
-            one && two
+            let fast = RightsWorld { keepers: [11, 11], ..RightsWorld::default() };
+            let slow = RightsWorld { keepers: [9, 9], ..RightsWorld::default() };
+            let three = told("rights, keepers' clocks fast", &search(&fast, most));
+            let four = told("rights, keepers' clocks slow", &search(&slow, most));
+            one && two && three && four
+        }
+        Command::Rights { seeds, sizes } => {
+            for size in sizes {
+                for even in [Even::Rights, Even::Split] {
+                    println!("{size} members, {even:?}: {}", measure_rights(size, even, 1));
+                }
+            }
+            let broken: Vec<_> = (0..seeds).filter_map(|s| play_rights(s).err().map(|b| (s, b))).collect();
+            broken.iter().take(10).for_each(|(seed, b)| println!("seed {seed}: {b}"));
+            println!("{seeds} schedules of rights, {} broken", broken.len());
+            broken.is_empty()
         }
         Command::Measure { sizes, loss, slow, deaths, seed } => {
             for size in sizes {
--- a/crates/attack/src/lib.rs
+++ b/crates/attack/src/lib.rs
@@ -4,14 +4,17 @@
 //! - `member`: a member of a fleet in the kernel's virtual time, with its folder
 //! - `schedule`: a seed's faults, and what must hold under them
 //! - `worlds`: small worlds of the parts that safety rests on
+//! - `rights`: rights over a fleet: a small world, schedules, figures
 //! - `measure`: figures over many members
 
 mod measure;
 mod member;
+mod rights;
 mod schedule;
 mod worlds;
 
 pub use measure::{Figures, Plain, measure, plain};
 pub use member::{Folder, Msg, Seated, World, size};
+pub use rights::{Even, RightsFigures, RightsWorld, measure_rights, play_rights};
 pub use schedule::{Breach, Fault, Schedule, play};
 pub use worlds::{IdentityWorld, SupportWorld};
--- a/crates/checker/src/fleet.rs
+++ b/crates/checker/src/fleet.rs
@@ -289,6 +289,11 @@
                 if calm < terms.agreed {
                     continue;
                 }
+                if let Some(gone) = claim.there.iter().find(|n| !truth.lives[**n] || truth.stopped[**n]) {
+                    let what = format!("{} has {gone} in its view, which is gone", claim.who);
+                    breaches.push(FleetBreach { at: entry.at, what });
+                    return;
+                }
                 // One-way cuts and bridges let everybody hear of everybody: the island is who must agree.
                 for other in &island {
                     if let Some(theirs) = views.get(other).filter(|theirs| theirs.view != claim.view) {
--- a/crates/rig/src/bin/rig.rs
+++ b/crates/rig/src/bin/rig.rs
@@ -102,6 +102,9 @@
         /// Scenes at once.
         #[arg(long, default_value_t = 6)]
         jobs: usize,
+        /// Another build of the program, for every second process.
+        #[arg(long)]
+        beside: Option<PathBuf>,
         /// Prints all that was done and told.
         #[arg(long)]
         ledger: bool,
@@ -259,7 +262,7 @@
                 });
             }
             let _ = std::fs::remove_dir_all(&folder);
-            let played = yarrowhill_rig::play_scene(&scene, &program(None)?, &folder).await?;
+            let played = yarrowhill_rig::play_scene(&scene, &[&program(None)?], &folder).await?;
             if ledger {
                 for entry in &played.ledger {
                     println!("{:8.1} {}", entry.at, serde_json::to_string(&entry.event).unwrap_or_default());
@@ -273,7 +276,7 @@
             println!("{}: {}", scene.name, if played.is_clean() { "everything held" } else { "not clean" });
             Ok(played.is_clean())
         }
-        Command::Fleet { scene, directed: all, seeds, from, jobs, ledger, .. } => {
+        Command::Fleet { scene, directed: all, seeds, from, jobs, ledger, beside, .. } => {
             let mut scenes = Vec::new();
             if let Some(path) = scene {
                 let text = std::fs::read_to_string(path)?;
@@ -283,7 +286,7 @@
                 scenes.extend(directed());
             }
             scenes.extend((from..from + seeds).map(FleetScene::draw));
-            fleet(scenes, jobs, ledger).await
+            fleet(scenes, jobs, ledger, beside).await
         }
     }
 }
@@ -467,7 +470,12 @@
     counts.faults.is_empty()
 }
 
-async fn fleet(scenes: Vec<FleetScene>, jobs: usize, ledger: bool) -> io::Result<bool> {
+async fn fleet(
+    scenes: Vec<FleetScene>,
+    jobs: usize,
+    ledger: bool,
+    beside: Option<PathBuf>,
+) -> io::Result<bool> {
     let program = program(None)?;
     let bar = bar(scenes.len() as u64, "scenes");
     let count = scenes.len();
@@ -489,7 +497,9 @@
             played.crashed.iter().for_each(|c| println!("  {c}"));
         }
     };
-    play_scenes(scenes, &program, jobs, &mut tell).await?;
+    let mut programs = vec![program.as_path()];
+    programs.extend(beside.as_deref());
+    play_scenes(scenes, &programs, jobs, &mut tell).await?;
     bar.finish_and_clear();
     println!("{count} scenes, {unclean} not clean; {taken_on} messages taken on, {late:.0} ms late at most");
     Ok(unclean == 0)
--- a/crates/rig/src/fleet/play.rs
+++ b/crates/rig/src/fleet/play.rs
@@ -81,15 +81,16 @@
     }
 }
 
-/// Plays a scene with the real program, in a folder of its own.
+/// Plays a scene with the real program, in a folder of its own. Where there are several programs the processes have
+/// them in turn: builds of two versions live together.
 ///
 /// # Errors
 ///
 /// The processes or the network can't be started.
-pub async fn play_scene(scene: &FleetScene, program: &Path, folder: &Path) -> io::Result<FleetPlayed> {
+pub async fn play_scene(scene: &FleetScene, programs: &[&Path], folder: &Path) -> io::Result<FleetPlayed> {
     let lateness = Arc::new(AtomicU64::new(0));
     let watch = tokio::spawn(watch_clock(lateness.clone()));
-    let mut fleet = Fleet::start(scene, program, folder).await?;
+    let mut fleet = Fleet::start(scene, programs, folder).await?;
     let book = Book { start: Instant::now(), entries: Arc::default() };
     (0..scene.size).for_each(|n| book.write(FleetEvent::Started(n)));
     let mut observers = JoinSet::new();
@@ -155,19 +156,20 @@
 /// One could not be played.
 pub async fn play_scenes(
     scenes: Vec<FleetScene>,
-    program: &Path,
+    programs: &[&Path],
     jobs: usize,
     told: &mut impl FnMut(&FleetScene, &FleetPlayed),
 ) -> io::Result<()> {
     let room = Arc::new(tokio::sync::Semaphore::new(jobs.max(1)));
     let mut runs = JoinSet::new();
     for (n, scene) in scenes.into_iter().enumerate() {
-        let (room, program) = (room.clone(), program.to_owned());
+        let (room, programs) = (room.clone(), programs.iter().map(|p| p.to_path_buf()).collect::<Vec<_>>());
         runs.spawn(async move {
             let _place = room.acquire_owned().await.map_err(io::Error::other)?;
             // Short: a Unix socket's path has 107 bytes at most.
             let folder = std::env::temp_dir().join(format!("yw-{}-{n}", std::process::id()));
-            let played = play_scene(&scene, &program, &folder).await;
+            let programs: Vec<&Path> = programs.iter().map(PathBuf::as_path).collect();
+            let played = play_scene(&scene, &programs, &folder).await;
             if std::env::var_os("YARROWHILL_RIG_KEEP").is_none() {
                 // Nothing depends on what is left there.
                 let _ = std::fs::remove_dir_all(&folder);
--- a/crates/rig/src/fleet/stage.rs
+++ b/crates/rig/src/fleet/stage.rs
@@ -70,7 +70,7 @@
 
 impl Fleet {
     /// Starts the processes of a scene in a folder, all at once, and waits until they are ready.
-    pub(super) async fn start(scene: &FleetScene, program: &Path, folder: &Path) -> io::Result<Self> {
+    pub(super) async fn start(scene: &FleetScene, programs: &[&Path], folder: &Path) -> io::Result<Self> {
         let size = scene.size;
         let listens: Vec<SocketAddr> = (0..size).map(|_| free_address()).collect::<Result<_, _>>()?;
         let mut relays: Vec<Vec<Option<Relay>>> = Vec::new();
@@ -100,7 +100,8 @@
             let folder = folder.join(n.to_string());
             fs::create_dir_all(&folder)?;
             fs::write(folder.join("fleet.kdl"), document(scene, n, listens[n], &relays[n]))?;
-            let (program, seed, many) = (program.to_owned(), scene.seed << 8 | n as u64, size);
+            let program = programs.get(n % programs.len().max(1)).ok_or(io::ErrorKind::InvalidInput)?;
+            let (program, seed, many) = (program.to_path_buf(), scene.seed << 8 | n as u64, size);
             starts.spawn(async move { (n, Seat::start(n, many, &program, &folder, seed).await) });
         }
         let mut seats: Vec<Option<Seat>> = (0..size).map(|_| None).collect();
--- a/crates/rig/src/scratch.rs
+++ b/crates/rig/src/scratch.rs
@@ -28,7 +28,10 @@
     },
     /// It does not build.
     #[error("{0}: it does not build")]
-    Build(&'static str),
+    Build(String),
+    /// The repository has no such commit, or git is not to be had.
+    #[error("{0}: no such commit")]
+    Commit(String),
 }
 
 fn at(path: &Path) -> impl FnOnce(io::Error) -> ScratchError + '_ {
@@ -111,14 +114,49 @@
         for name in ["Cargo.toml", "Cargo.lock", "crates"] {
             files(&root(), Path::new(name), &mut wanted)?;
         }
-        let tree = self.folder.join("tree");
-        for name in &wanted {
-            let (from, to) = (root().join(name), tree.join(name));
-            let text = match patched.remove(name) {
+        let mut texts = Vec::new();
+        for name in wanted {
+            let from = root().join(&name);
+            let text = match patched.remove(&name) {
                 Some(text) => text.into_bytes(),
                 None => fs::read(&from).map_err(at(&from))?,
             };
-            if fs::read(&to).is_ok_and(|old| old == text) {
+            texts.push((name, text));
+        }
+        self.lay(texts)?;
+        let to = self.folder.join("bin").join(bug.name());
+        self.cargo(bug.name(), "yarrowhill-rig", "yarrowhill-faulty", &to)?;
+        Ok(to)
+    }
+
+    /// The program as it was at a commit of this repository.
+    ///
+    /// # Errors
+    ///
+    /// There is no such commit, or it does not build.
+    pub fn before(&self, commit: &str) -> Result<PathBuf, ScratchError> {
+        let git = |args: &[&str]| -> Result<Vec<u8>, ScratchError> {
+            let done = Command::new("git").args(args).current_dir(root()).output().map_err(at(&root()))?;
+            if done.status.success() { Ok(done.stdout) } else { Err(ScratchError::Commit(commit.to_owned())) }
+        };
+        let names = git(&["ls-tree", "-r", "--name-only", commit, "Cargo.toml", "Cargo.lock", "crates"])?;
+        let names = String::from_utf8_lossy(&names).into_owned();
+        let mut texts = Vec::new();
+        for name in names.lines() {
+            texts.push((PathBuf::from(name), git(&["show", &format!("{commit}:{name}")])?));
+        }
+        self.lay(texts)?;
+        let to = self.folder.join("bin").join(format!("before-{commit}"));
+        self.cargo("the build before", "yarrowhill-rig", "yarrowhill-faulty", &to)?;
+        Ok(to)
+    }
+
+    /// Makes the tree hold these files and no others. Only what differs is written, so that only that is built anew.
+    fn lay(&self, texts: Vec<(PathBuf, Vec<u8>)>) -> Result<(), ScratchError> {
+        let tree = self.folder.join("tree");
+        for (name, text) in &texts {
+            let to = tree.join(name);
+            if fs::read(&to).is_ok_and(|old| old == *text) {
                 continue;
             }
             to.parent().map_or(Ok(()), fs::create_dir_all).map_err(at(&to))?;
@@ -126,16 +164,14 @@
         }
         let mut there = Vec::new();
         files(&tree, Path::new("crates"), &mut there)?;
-        for name in there.iter().filter(|name| !wanted.contains(name)) {
+        for name in there.iter().filter(|name| !texts.iter().any(|(wanted, _)| wanted == *name)) {
             let path = tree.join(name);
             fs::remove_file(&path).map_err(at(&path))?;
             // A package's empty folder would be a member of the workspace without a manifest.
             let emptied = path.ancestors().skip(1).take_while(|folder| *folder != tree);
             let _ = emptied.map(fs::remove_dir).take_while(Result::is_ok).count();
         }
-        let to = self.folder.join("bin").join(bug.name());
-        self.cargo(bug, "yarrowhill-rig", "yarrowhill-faulty", &to)?;
-        Ok(to)
+        Ok(())
     }
 
     /// Attacks a bug of membership without any process: the first line that tells of it, if it is caught. The tree is
@@ -146,7 +182,7 @@
     /// It does not build, or can't be run.
     pub fn attack(&self, bug: Bug) -> Result<Option<String>, ScratchError> {
         let program = self.folder.join("bin").join(format!("attack-{}", bug.name()));
-        self.cargo(bug, "yarrowhill-attack", "attack", &program)?;
+        self.cargo(bug.name(), "yarrowhill-attack", "attack", &program)?;
         for args in [&["search"][..], &["schedules", "--seeds", "200"]] {
             let done = Command::new(&program).args(args).output().map_err(at(&program))?;
             if !done.status.success() {
@@ -159,7 +195,7 @@
     }
 
     /// Builds a program of the tree and puts it in a place of its own.
-    fn cargo(&self, bug: Bug, package: &str, bin: &str, to: &Path) -> Result<(), ScratchError> {
+    fn cargo(&self, what: &str, package: &str, bin: &str, to: &Path) -> Result<(), ScratchError> {
         let (tree, target) = (self.folder.join("tree"), self.folder.join("build"));
         let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
         let built = Command::new(cargo)
@@ -170,7 +206,7 @@
             .status()
             .map_err(at(&tree))?;
         if !built.success() {
-            return Err(ScratchError::Build(bug.name()));
+            return Err(ScratchError::Build(what.to_owned()));
         }
         let from = target.join("debug").join(bin);
         fs::copy(&from, to).map_err(at(&from))?;
--- a/crates/rig/src/sweep.rs
+++ b/crates/rig/src/sweep.rs
@@ -77,7 +77,7 @@
         None => play(&Script::draw(seed).with_shards(shards), program, &folder).await?,
         Some(Scene::Script(script)) => play(&script.with_shards(shards), program, &folder).await?,
         Some(Scene::Load(load)) => play_load(&load, program, &folder).await?.into(),
-        Some(Scene::Fleet(scene)) => play_scene(&scene, program, &folder).await?.into(),
+        Some(Scene::Fleet(scene)) => play_scene(&scene, &[program], &folder).await?.into(),
     };
     if played.is_clean() || std::env::var_os("YARROWHILL_RIG_KEEP").is_none() {
         // Nothing depends on what is left there.
--- a/crates/rig/tests/fleet.rs
+++ b/crates/rig/tests/fleet.rs
@@ -3,7 +3,7 @@
 //! More by command: `rig fleet --directed`, `rig fleet --seeds 200`.
 
 use std::path::Path;
-use yarrowhill_rig::{FleetPlayed, FleetScene, directed, play_scenes};
+use yarrowhill_rig::{FleetPlayed, FleetScene, Scratch, ScratchError, directed, play_scenes};
 
 const SEEDS: u64 = 30;
 /// Scenes beside each other: they wait more than they work.
@@ -25,8 +25,38 @@
             unclean.push(scene.name.clone());
         }
     };
-    play_scenes(scenes, program, JOBS, &mut told).await.expect("the scenes can be played");
+    play_scenes(scenes, &[program], JOBS, &mut told).await.expect("the scenes can be played");
     assert!(unclean.is_empty(), "{unclean:?}");
     // Rules that nothing is taken on under are kept by nobody.
     assert!(taken_on > 100 * count, "{taken_on} messages taken on");
 }
+
+/// The first build that knew fleets: later ones must live beside it.
+const FIRST: &str = "25f5b39";
+
+/// Processes of two versions, in turn, hold the same together as those of one.
+#[tokio::test(flavor = "multi_thread")]
+async fn two_versions_live_beside_each_other() {
+    let now = Path::new(env!("CARGO_BIN_EXE_yarrowhill-faulty"));
+    let before = {
+        let scratch = Scratch::open().expect("a folder");
+        match scratch.before(FIRST) {
+            Ok(before) => before,
+            // A copy of the repository without its history has nothing to play beside.
+            Err(ScratchError::Commit(commit)) => return println!("left out: {commit} is not in the history"),
+            Err(e) => panic!("{e}"),
+        }
+    };
+    let wanted = ["cut in two, four and five", "half die at once and others come", "one that leaves"];
+    let scenes: Vec<FleetScene> =
+        directed().into_iter().filter(|scene| wanted.contains(&scene.name.as_str())).collect();
+    assert_eq!(scenes.len(), wanted.len());
+    let mut unclean = Vec::new();
+    let mut told = |scene: &FleetScene, played: &FleetPlayed| {
+        if !played.is_clean() {
+            unclean.push(format!("{}: {:?} {:?}", scene.name, played.breaches, played.rules));
+        }
+    };
+    play_scenes(scenes, &[now, &before], JOBS, &mut told).await.expect("the scenes can be played");
+    assert!(unclean.is_empty(), "{unclean:#?}");
+}
--- /dev/null
+++ b/crates/rights/src/lib.rs
@@ -0,0 +1,65 @@
+//! A limit that a fleet shares, cut into rights: each member has a floor, its even part, and lends what it does not need
+//! to a keeper, which grants it to those that need more. Everything is lent and granted under leases in time. No I/O, no
+//! clock: moments come in, and messages go out as values. `docs/design-rights.md` weighs the options.
+//!
+//! **Theorem.** At every instant, what all members may use together is at most the sum of their floors: in any
+//! interleaving of loss, delay, copies, reordering, partition, stops, and restarts with any folder, and with any number
+//! of keepers that know nothing of each other.
+//!
+//! **Why.** A member uses its floor less all that it has promised and that has not run out; a promise runs out for the
+//! member (`wide` of [`Spans::lend`] since it answered) after it does for the keeper (`lend` since it asked, which was
+//! before). A keeper counts only promises made to itself. It grants no more than it holds in promises that last longer
+//! than the grant, counting each grant for `wide` of [`Spans::grant`] since it answered, and so for longer than the
+//! borrower does (`grant` since it asked). So every unit that a borrower uses at an instant is one that some lender
+//! does not use. A member that starts has forgotten its promises: it uses nothing of its floor for `wide` of `lend`.
+//! A keeper that starts has forgotten what it granted out of promises that still last: it grants nothing for `wide` of
+//! `grant`. Nothing has to be on disk.
+//!
+//! **Assumptions.** Clock rates right within `drift`, on clocks that count stops; one process under a name. A limit that
+//! falls binds what is promised and granted already only when that runs out: for [`Spans::lend`] the bound is the
+//! largest limit that anybody went by. Members that go by rosters of different sizes have floors whose sum may pass the
+//! limit by the part by which the sizes differ.
+//!
+//! - `spans`: how long what lasts
+//! - `holder`: a member's side; `keeper`: who gathers and grants
+//! - `plan`: what is granted to whom
+//! - `tokens`: from a right to single calls
+//!
+//! ```
+//! use yarrowhill_rights::*;
+//! let spans = Spans::new(1_000_000, 0.01);
+//! // Two members of a limit of 10 calls a second, both up for long; the first keeps.
+//! let floor = 5 * CALL;
+//! let (mut keeper, mut busy) = (Keeper::new(0, spans), Holder::new(0, spans, floor));
+//! let mut idle = Holder::new(0, spans, floor);
+//! let mut now = 10_000_000;
+//! for _ in 0..3 {
+//!     now += 200_000;
+//!     let ask = keeper.asks(now);
+//!     let want = idle.want(now, 1, CALL, Some(ask));
+//!     keeper.want(now, 0, &want, spans);
+//!     let want = busy.want(now, 1, 12 * CALL, None);
+//!     let grant = keeper.want(now, 1, &want, spans);
+//!     busy.granted(now, 1, &grant);
+//! }
+//! let (a, b) = (idle.right(now), busy.right(now));
+//! assert!(b > 8 * CALL && a + b <= 10 * CALL, "{a} {b}");
+//! // Nothing is heard any more: what was granted ends, and what was lent comes back.
+//! now += 3_000_000;
+//! assert_eq!((idle.right(now), busy.right(now)), (floor, floor));
+//! ```
+
+mod holder;
+mod keeper;
+mod plan;
+mod spans;
+mod tokens;
+
+pub use holder::{Grant, Holder, Offer, Want};
+pub use keeper::Keeper;
+pub use plan::water_fill;
+pub use spans::{Micros, Spans};
+pub use tokens::Tokens;
+
+/// One call a second, in the unit of all rights: whole numbers, so that sums are exact.
+pub const CALL: u64 = 1_000_000;
