--- a/crates/attack/src/measure.rs
+++ b/crates/attack/src/measure.rs
@@ -36,6 +36,11 @@
     Histogram::new(3).unwrap_or_else(|e| unreachable!("{e}"))
 }
 
+/// Counts a value; the histogram grows as far as it must, which no span here is too long for.
+fn record(into: &mut Histogram<u64>, ms: u64) {
+    into.record(ms).unwrap_or_else(|e| unreachable!("{e}"));
+}
+
 /// Kills `deaths` members of a fleet of `size`, one after another, and lets each come back. Of the fleet `slow` in
 /// ten are stopped again and again for up to a period and a half.
 pub fn measure(size: usize, loss: f64, slow: usize, deaths: usize, seed: u64) -> Figures {
@@ -102,7 +107,7 @@
         for (told, into) in
             [(first, &mut figures.first), (all, &mut figures.all), (agreed, &mut figures.agreed)]
         {
-            told.into_iter().for_each(|ms| into.saturating_record(ms));
+            told.into_iter().for_each(|ms| record(into, ms));
         }
         world.start(dead);
         advance(&mut world, 30 * PERIOD, &mut rng, None);
@@ -193,7 +198,7 @@
                 break;
             }
         }
-        all.saturating_record((fleet.now() - at) / 1000);
+        record(&mut all, (fleet.now() - at) / 1000);
         let now = fleet.now();
         fleet.start(dead, Plain { me: dead, heard: vec![now; size], next: now, out: Vec::new() });
         fleet.run_until(now + 3 * PERIOD);
--- a/crates/rig/src/count.rs
+++ b/crates/rig/src/count.rs
@@ -322,10 +322,19 @@
 }
 
 impl<'a> Line<'a> {
-    /// `2026-12-01T20:00:00.123456Z DEBUG sent id=a attempt=0 dest=7`
+    /// `2026-12-01T20:00:00.123456Z DEBUG sent id=a attempt=0 dest=7`; a word that whoever kept the log put before each
+    /// line is passed over.
     fn read(text: &'a str) -> Option<Self> {
-        let (stamp, rest) = text.split_once(' ')?;
-        let time = humantime::parse_rfc3339(stamp).ok()?.duration_since(UNIX_EPOCH).ok()?;
+        let (first, after) = text.split_once(' ')?;
+        let stamped = |stamp: &str| humantime::parse_rfc3339(stamp).ok();
+        let (time, rest) = match stamped(first) {
+            Some(time) => (time, after),
+            None => {
+                let (second, rest) = after.split_once(' ')?;
+                (stamped(second)?, rest)
+            }
+        };
+        let time = time.duration_since(UNIX_EPOCH).ok()?;
         let rest = rest.trim_start();
         let (_, rest) = rest.split_once(' ')?;
         // The words before the first field.
@@ -394,7 +403,7 @@
             "b",
             &[
                 STARTS,
-                "2026-12-01T20:00:01.000000Z DEBUG taken id=m2 class=1 dest=7 left=5 past=Past { attempts: 0 }",
+                "1.000 2026-12-01T20:00:01.000000Z DEBUG taken id=m2 class=1 dest=7 left=5 past=Past { attempts: 0 }",
                 "2026-12-01T20:00:01.100000Z DEBUG sent id=m2 attempt=0 endpoint=3 dest=7 call=1",
                 "2026-12-01T20:00:02.000000Z DEBUG ended id=\"m2\" attempt=0 outcome=TimedOut took=9",
                 "2026-12-01T20:00:03.000000Z DEBUG sent id=m2 attempt=1 endpoint=3 dest=7 call=2",
