--- a/crates/rig/src/scratch.rs
+++ b/crates/rig/src/scratch.rs
@@ -183,7 +183,7 @@
     pub fn attack(&self, bug: Bug) -> Result<Option<String>, ScratchError> {
         let program = self.folder.join("bin").join(format!("attack-{}", bug.name()));
         self.cargo(bug.name(), "yarrowhill-attack", "attack", &program)?;
-        for args in [&["search"][..], &["schedules", "--seeds", "200"]] {
+        for args in [&["schedules", "--seeds", "200"][..], &["search"]] {
             let done = Command::new(&program).args(args).output().map_err(at(&program))?;
             if !done.status.success() {
                 let text = String::from_utf8_lossy(&done.stdout);
