--- a/crates/attack/src/measure.rs
+++ b/crates/attack/src/measure.rs
@@ -69,7 +69,6 @@
         wrong += believed(world, dead) as u64;
     };
     advance(&mut world, 40 * PERIOD, &mut rng, None);
-    wrong_reset(&mut world);
     let before: u64 = world.fleet.bytes.iter().sum();
     for _ in 0..30 {
         advance(&mut world, PERIOD, &mut rng, None);
@@ -126,14 +125,6 @@
     (0..world.fleet.len()).filter_map(held).sum()
 }
 
-fn wrong_reset(world: &mut World) {
-    for n in 0..world.fleet.len() {
-        if let Some(seated) = world.fleet.member_mut(n) {
-            seated.events.clear();
-        }
-    }
-}
-
 /// The plain way: everybody tells everybody each period that it is there.
 pub struct Plain {
     me: usize,
