--- a/crates/rig/src/fleet/play.rs
+++ b/crates/rig/src/fleet/play.rs
@@ -162,18 +162,15 @@
 ) -> io::Result<()> {
     let room = Arc::new(tokio::sync::Semaphore::new(jobs.max(1)));
     let mut runs = JoinSet::new();
-    for (n, scene) in scenes.into_iter().enumerate() {
+    for scene in scenes {
         let (room, programs) = (room.clone(), programs.iter().map(|p| p.to_path_buf()).collect::<Vec<_>>());
         runs.spawn(async move {
             let _place = room.acquire_owned().await.map_err(io::Error::other)?;
             // Short: a Unix socket's path has 107 bytes at most.
-            let folder = std::env::temp_dir().join(format!("yw-{}-{n}", std::process::id()));
+            let mut folder = tempfile::Builder::new().prefix("yw-").tempdir()?;
+            folder.disable_cleanup(std::env::var_os("YARROWHILL_RIG_KEEP").is_some());
             let programs: Vec<&Path> = programs.iter().map(PathBuf::as_path).collect();
-            let played = play_scene(&scene, &programs, &folder).await;
-            if std::env::var_os("YARROWHILL_RIG_KEEP").is_none() {
-                // Nothing depends on what is left there.
-                let _ = std::fs::remove_dir_all(&folder);
-            }
+            let played = play_scene(&scene, &programs, folder.path()).await;
             played.map(|played| (scene, played))
         });
     }
--- a/crates/rig/tests/fleet.rs
+++ b/crates/rig/tests/fleet.rs
@@ -60,3 +60,18 @@
     play_scenes(scenes, &[now, &before], JOBS, &mut told).await.expect("the scenes can be played");
     assert!(unclean.is_empty(), "{unclean:#?}");
 }
+
+/// Plays beside each other in one process, as tests are, share no folder.
+#[tokio::test(flavor = "multi_thread")]
+async fn plays_at_once_share_nothing() {
+    let program = Path::new(env!("CARGO_BIN_EXE_yarrowhill-faulty"));
+    let play = || async {
+        let mut clean = false;
+        let mut told = |_: &FleetScene, played: &FleetPlayed| clean = played.is_clean();
+        play_scenes(vec![FleetScene::new("calm", 3, Vec::new())], &[program], 1, &mut told)
+            .await
+            .map(|()| clean)
+    };
+    let (one, other) = tokio::join!(play(), play());
+    assert!(one.expect("it can be played") && other.expect("it can be played"));
+}
--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -38,6 +38,8 @@
 
 /// Longer than a start should take.
 const START: Duration = Duration::from_secs(20);
+/// Bytes of its log that tell why it ended.
+const SAID: usize = 600;
 
 impl Process {
     /// Starts it with a configuration, and waits until it is ready.
@@ -60,7 +62,8 @@
         let asked = async {
             loop {
                 if let Some(status) = self.child.try_wait()? {
-                    return Err(io::Error::other(format!("it ended before it was ready: {status}")));
+                    let said = self.last_said();
+                    return Err(io::Error::other(format!("it ended before it was ready: {status}: {said}")));
                 }
                 if is_ready(self.addr).await {
                     return Ok(());
@@ -73,6 +76,12 @@
         Ok(())
     }
 
+    /// The end of what it said on its way out.
+    fn last_said(&self) -> String {
+        let log = std::fs::read(self.setup.folder.join("log")).unwrap_or_default();
+        String::from_utf8_lossy(&log[log.len().saturating_sub(SAID)..]).into_owned()
+    }
+
     /// Starts it again with a configuration, without some of its variables.
     ///
     /// # Errors
