Let one that returns to the roster with an empty folder hear what is remembered of it

A member left, was taken out of the roster, came back with an empty folder and stayed 'unknown' to all who remembered it: its words lay below its grave, and nobody told it of that, since nobody had a word of it that counts.

The change: words to a member that is unknown begin with what its grave holds, so that it goes above it, as the law of identity says. Beside that a packet that changes nothing of who is there no longer gathers all members (Membership::settled), and one member can be asked for.

--- a/crates/membership/src/core.rs
+++ b/crates/membership/src/core.rs
@@ -124,6 +124,8 @@
     members: Members,
     detector: Detector,
     settler: Settler,
+    /// The changes of members, and the own boot, that the settler has seen.
+    settled_of: Option<(u64, u64)>,
     voter: Voter,
     support: Support,
     rng: ChaCha8Rng,
@@ -177,6 +179,7 @@
             members,
             detector: Detector::new(timing.period, first),
             settler: Settler::new(now, timing.settle, timing.settle_most, view),
+            settled_of: None,
             voter: Voter::new(now, lease),
             support,
             rng,
@@ -221,6 +224,11 @@
         self.members.iter()
     }
 
+    /// What it knows of another member.
+    pub fn member(&self, id: MemberId) -> Option<&Entry> {
+        self.members.get(id)
+    }
+
     /// What was refused.
     pub fn refused(&self) -> Refused {
         self.refused
@@ -598,14 +606,23 @@
         self.support.granted(header.from, view, at, self.lease);
     }
 
+    /// Whether the view is another one. Most packets change nothing of who is there, and cost no look at all members.
+    fn step(&mut self, now: Micros) -> bool {
+        let boot = self.identity.incarnation().boot;
+        let of = (self.members.changes(), boot);
+        if self.settled_of == Some(of) && self.settler.is_at_rest() {
+            return false;
+        }
+        self.settled_of = Some(of);
+        let mut present = self.members.present();
+        present.insert(self.me, boot);
+        self.settler.observe(now, present, self.members.suspects(), self.roster.reference())
+    }
+
     /// What follows from all that was heard: view, certainty, standing.
     fn settled(&mut self, now: Micros) {
         self.identity.forget(now, self.timing.forget);
-        let mut present = self.members.present();
-        present.insert(self.me, self.identity.incarnation().boot);
-        let reference = self.roster.reference();
-        let suspects = self.members.suspects();
-        if self.settler.observe(now, present, suspects, reference) {
+        if self.step(now) {
             let view = self.settler.view().clone();
             self.support.view(view.id);
             self.next_ask = now;
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -1,7 +1,7 @@
 //! What is known of each member, and which words are still to be passed on.
 
 use crate::detector::Suspicion;
-use crate::id::{Incarnation, MemberId, Micros};
+use crate::id::{MemberId, Micros};
 use crate::packet::Update;
 use crate::record::{Health, Record};
 use crate::roster::{Roster, RosterRef};
@@ -47,10 +47,13 @@
 #[derive(Clone, Debug)]
 pub struct Members {
     entries: BTreeMap<MemberId, Entry>,
-    graves: BTreeMap<MemberId, (Incarnation, Micros)>,
+    /// The last word of those that left the roster, and until when it counts.
+    graves: BTreeMap<MemberId, (Record, Micros)>,
     suspects: BTreeSet<MemberId>,
     /// Those that are there, in a row: probes draw from it.
     there: Vec<MemberId>,
+    /// Counts changes of who is there, and under which boot.
+    changes: u64,
     /// Words to pass on, and how often each was.
     rumours: BTreeMap<MemberId, (Update, u32)>,
     period: Micros,
@@ -66,6 +69,7 @@
             graves: BTreeMap::new(),
             suspects: BTreeSet::new(),
             there: Vec::new(),
+            changes: 0,
             rumours: BTreeMap::new(),
             period,
         }
@@ -91,6 +95,11 @@
         self.suspects.len()
     }
 
+    /// Counts the changes of [`Members::present`].
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
     /// Those that are there with their boots.
     pub fn present(&self) -> Present {
         self.there.iter().filter_map(|id| Some((*id, self.entries.get(id)?.record.inc.boot))).collect()
@@ -116,7 +125,7 @@
         if !record.inc.is_sound() || record.health == Health::Unknown {
             return Learnt::Refused;
         }
-        if self.graves.get(&about).is_some_and(|(inc, until)| now < *until && record.inc <= *inc) {
+        if self.graves.get(&about).is_some_and(|(last, until)| now < *until && record.inc <= last.inc) {
             return Learnt::Known;
         }
         let Some(entry) = self.entries.get_mut(&about) else { return Learnt::Refused };
@@ -133,6 +142,7 @@
         }
         if before != record.health || entry.record.inc.boot != record.inc.boot {
             entry.since = now;
+            self.changes += 1;
         }
         entry.record = record;
         entry.by = Some(by);
@@ -188,7 +198,11 @@
     pub fn words(&mut self, to: MemberId, most: usize) -> Vec<Update> {
         let own =
             self.entries.get(&to).filter(|e| !matches!(e.record.health, Health::Unknown | Health::Alive));
-        let own = own.map(|e| Update { about: to, record: e.record, by: e.by.unwrap_or(to) });
+        // One that left the roster and is back in it goes above what is remembered of it once it hears of that.
+        let unknown = |e: &&Entry| e.record.health == Health::Unknown;
+        let grave = || self.entries.get(&to).filter(unknown).and_then(|_| self.graves.get(&to));
+        let own = own.map(|e| (e.record, e.by)).or_else(|| grave().map(|(last, _)| (*last, None)));
+        let own = own.map(|(record, by)| Update { about: to, record, by: by.unwrap_or(to) });
         let mut words: Vec<Update> = own.into_iter().collect();
         if self.rumours.is_empty() {
             return words;
@@ -223,11 +237,13 @@
     pub fn roster(&mut self, now: Micros, roster: &Roster, me: MemberId) {
         self.graves.retain(|_, (_, until)| now < *until);
         let gone: Vec<MemberId> = self.entries.keys().copied().filter(|id| !roster.has(*id)).collect();
+        self.changes += 1;
         for id in gone {
             if let Some(entry) = self.entries.remove(&id)
+                && entry.record.health != Health::Unknown
                 && self.graves.len() < crate::roster::MEMBERS_MOST
             {
-                self.graves.insert(id, (entry.record.inc, now.saturating_add(GRAVE)));
+                self.graves.insert(id, (entry.record, now.saturating_add(GRAVE)));
             }
             self.suspects.remove(&id);
             self.rumours.remove(&id);
@@ -238,3 +254,33 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::id::{Incarnation, Life};
+    use crate::roster::Seat;
+
+    /// It left the roster under a high boot and comes back with an empty folder: it has to hear of that, or nobody would
+    /// believe it before its grave is forgotten.
+    #[test]
+    fn one_that_returns_to_the_roster_hears_what_is_remembered_of_it() {
+        let roster = |names: &[&str]| {
+            let seat = |name: &&str| Seat { name: (*name).to_owned(), zone: String::new(), votes: None };
+            Roster::new(1, names.iter().map(seat).collect()).expect("a roster")
+        };
+        let (me, gone) = (MemberId::of("a"), MemberId::of("b"));
+        let mut members = Members::new(&roster(&["a", "b"]), me, 1000);
+        let word = |boot, life| {
+            let inc = Incarnation { boot, round: 0 };
+            Update { about: gone, record: Record { inc, health: Health::Alive, life: Life(life) }, by: gone }
+        };
+        members.learn(0, word(7, 1));
+        members.roster(1, &roster(&["a"]), me);
+        members.roster(2, &roster(&["a", "b"]), me);
+        assert_eq!(members.learn(3, word(1, 2)), Learnt::Known);
+        assert_eq!(members.words(gone, 5).first().map(|w| w.record), Some(word(7, 1).record));
+        assert!(matches!(members.learn(4, word(8, 2)), Learnt::New { .. }));
+        assert!(members.words(gone, 5).iter().all(|w| w.record != word(7, 1).record));
+    }
+}
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -92,6 +92,8 @@
 
     /// Looks at who is there now, and how many of them are suspected. True if the view is another one.
     pub fn observe(&mut self, now: Micros, raw: Present, suspects: usize, roster: RosterRef) -> bool {
+        let span = self.settle.saturating_mul(FLAP_SPAN);
+        self.goings.retain(|_, goings| now < goings.last.saturating_add(span));
         for id in self.raw.keys().filter(|id| !raw.contains_key(id)) {
             let goings = self.goings.entry(*id).or_insert(Goings { count: 0, last: now, back: now });
             (goings.count, goings.last) = (goings.count + 1, now);
@@ -99,8 +101,6 @@
         for id in raw.keys().filter(|id| !self.raw.contains_key(id)) {
             self.goings.entry(*id).and_modify(|goings| goings.back = now);
         }
-        let span = self.settle.saturating_mul(FLAP_SPAN);
-        self.goings.retain(|_, goings| now < goings.last.saturating_add(span));
         let counted: Present =
             raw.iter().filter(|(id, _)| !self.is_held(now, **id)).map(|(id, boot)| (*id, *boot)).collect();
         self.raw = raw;
@@ -124,6 +124,11 @@
         true
     }
 
+    /// Whether time alone changes nothing: a look at the same members would find the same view.
+    pub fn is_at_rest(&self) -> bool {
+        self.candidate.is_none() && self.goings.values().all(|goings| goings.count <= FLAPS)
+    }
+
     /// It flaps, and is not in the view.
     fn is_held(&self, now: Micros, id: MemberId) -> bool {
         let Some(goings) = self.goings.get(&id).filter(|g| g.count > FLAPS) else { return false };
