Keep to a partner's limit together: rights in the daemon, asked before a first byte

Need: each forwarder guards a destination's limit alone; together they pass it, and an even split leaves a third of it unused where traffic is uneven. The package 'rights' existed and nothing used it.

The change: rights are parts of a limit, so that one that falls binds at once whoever knows of it. Sharing holds all limits of a member: holder, keeper, tokens, demand; keepers follow from the own view by rendezvous hashing; letters name the life that they are meant for; nobody lends more than its floor. 'fleet' carries letters over membership's sockets and reads 'limit DEST calls=N' from its document; the gate is asked behind the open connection, and a call that may not begin waits for a quarter of a second at most. 'yarrowhill fleet limits' shows it. The fleet rig plays limited scenes, two under one name, no disk for a boot, joint rosters, narrow lines and descriptors used up, and the checker judges what reached destinations from all.

--- a/crates/attack/src/bin/attack.rs
+++ b/crates/attack/src/bin/attack.rs
@@ -4,8 +4,8 @@
 use hdrhistogram::Histogram;
 use std::process::ExitCode;
 use yarrowhill_attack::{
-    Even, IdentityWorld, RightsWorld, Schedule, SupportWorld, measure, measure_rights, plain, play,
-    play_rights,
+    Even, IdentityWorld, RightsWorld, Schedule, SupportWorld, measure, measure_rights, measure_shares, plain,
+    play, play_rights,
 };
 use yarrowhill_kernel::{Found, search};
 
@@ -65,6 +65,18 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// What members use of a limit while seven in ten are away, and when they return.
+    Shares {
+        /// Members.
+        #[arg(long, value_delimiter = ',', default_value = "10,30,300")]
+        sizes: Vec<usize>,
+        /// The share of packets that is lost.
+        #[arg(long, default_value_t = 0.0)]
+        loss: f64,
+        /// Seeds, from 1 on.
+        #[arg(long, default_value_t = 3)]
+        seeds: u64,
+    },
 }
 
 fn main() -> ExitCode {
@@ -106,6 +118,14 @@
             }
             true
         }
+        Command::Shares { sizes, loss, seeds } => {
+            for size in sizes {
+                for seed in 1..=seeds {
+                    println!("{size} members, seed {seed}: {:?}", measure_shares(size, loss, true, seed));
+                }
+            }
+            true
+        }
     };
     if clean { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
--- a/crates/attack/src/lib.rs
+++ b/crates/attack/src/lib.rs
@@ -6,15 +6,18 @@
 //! - `worlds`: small worlds of the parts that safety rests on
 //! - `rights`: rights over a fleet: a small world, schedules, figures
 //! - `measure`: figures over many members
+//! - `shares`: what members make of a limit that they divide by who is there
 
 mod measure;
 mod member;
 mod rights;
 mod schedule;
+mod shares;
 mod worlds;
 
 pub use measure::{Figures, Plain, measure, plain};
 pub use member::{Folder, Msg, Seated, World, size};
 pub use rights::{Even, RightsFigures, RightsWorld, measure_rights, play_rights};
 pub use schedule::{Breach, Fault, Schedule, play};
+pub use shares::{ShareFigures, measure_shares};
 pub use worlds::{IdentityWorld, SupportWorld};
--- a/crates/attack/src/rights.rs
+++ b/crates/attack/src/rights.rs
@@ -3,9 +3,11 @@
 use crate::schedule::Breach;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, VecDeque};
 use std::fmt;
+use yarrowhill_fleet::encode_letter;
 use yarrowhill_kernel::{Act, Fleet, Link, Links, Member, Micros, Start, World};
-use yarrowhill_rights::{CALL, Grant, Holder, Keeper, Spans, Want};
+use yarrowhill_rights::{CALL, Holder, Keeper, Letter, Limit, Sharing, Spans, Want};
 
 /// A member that lends, others that borrow, and two keepers that know nothing of each other. Anything may happen that the
 /// assumptions allow: what was asked long ago is answered now, answers are lost, members and keepers start again with
@@ -168,6 +170,12 @@
 const DRIFT: f64 = 0.01;
 /// The limit that all share.
 const LIMIT: u64 = 600 * CALL;
+/// Which.
+const DEST: u64 = 7;
+/// A call that may not begin waits for so long (microseconds).
+const PATIENCE: Micros = GRANT / 4;
+/// How fine the world is looked at (microseconds).
+const STEP: Micros = GRANT / 40;
 
 /// How a limit is shared.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -178,115 +186,138 @@
     Split,
 }
 
-/// What goes over the network.
-#[derive(Clone, Debug)]
-enum Word {
-    Want(Want),
-    Grant(Grant),
-}
-
-/// A member of a fleet that shares a limit, and its keeper's side.
+/// A member of a fleet that shares a limit, with calls to make.
 struct Sharer {
-    me: usize,
-    spans: Spans,
-    holder: Holder,
-    keeper: Keeper,
-    /// Whom it takes for the keeper.
-    keeps: usize,
-    asks: Option<Micros>,
-    demand: u64,
-    next: Micros,
-    out: Vec<(usize, Word)>,
+    sharing: Sharing,
+    /// Whom it takes to be there.
+    view: Vec<u64>,
+    /// Calls that come to it (a second).
+    rate: f64,
+    next_call: Micros,
+    /// Calls that were held back, with when each is given up.
+    waiting: VecDeque<Micros>,
+    /// When they ask again.
+    retry: Micros,
+    /// Calls that came and that began.
+    came: u64,
+    begun: u64,
+    out: Vec<(usize, Letter)>,
 }
 
 impl Sharer {
-    fn new(me: usize, now: Micros, size: usize, demand: u64) -> Self {
+    fn new(me: usize, now: Micros, members: usize, limit: Limit, rate: f64, life: u64) -> Self {
         let spans = Spans::new(GRANT, DRIFT);
-        let holder = Holder::new(now, spans, LIMIT / size as u64);
-        // Not all at once.
-        let next = now + (me as u64 * 7919) % spans.round();
-        let (keeper, out) = (Keeper::new(now, spans), Vec::new());
-        Sharer { me, spans, holder, keeper, keeps: 0, asks: None, demand, next, out }
+        let mut sharing = Sharing::new(now, me as u64, life, members, spans);
+        sharing.set(now, members, &BTreeMap::from([(DEST, limit)]));
+        let view = (0..members as u64).collect();
+        let (next_call, waiting, out) = (now + (me as u64 * 7919) % GRANT, VecDeque::new(), Vec::new());
+        Sharer { sharing, view, rate, next_call, waiting, retry: 0, came: 0, begun: 0, out }
     }
 
-    fn say(&mut self, to: usize, word: Word, now: Micros) {
-        if to == self.me {
-            self.handle(now, to, word);
-        } else {
-            self.out.push((to, word));
+    fn call(&mut self, now: Micros) {
+        self.waiting.retain(|until| now < *until);
+        while !self.waiting.is_empty() {
+            if let Err(wait) = self.sharing.begin(now, DEST, true) {
+                self.retry = now + wait.max(1000);
+                break;
+            }
+            self.waiting.pop_front();
+            self.begun += 1;
+        }
+        // One that was stopped finds what came meanwhile, as far as a client would still wait.
+        self.next_call = self.next_call.max(now.saturating_sub(GRANT));
+        while self.rate > 0.0 && now >= self.next_call {
+            self.next_call += (1e6 / self.rate) as Micros + 1;
+            self.came += 1;
+            match self.sharing.begin(now, DEST, false) {
+                Ok(()) => self.begun += 1,
+                Err(wait) => {
+                    self.retry = now + wait.max(1000);
+                    self.waiting.push_back(now + PATIENCE);
+                }
+            }
         }
     }
+
+    fn say(&mut self, now: Micros) {
+        let letters = self.sharing.tick(now, &self.view);
+        self.out.extend(letters.into_iter().map(|(to, letter)| (to as usize, letter)));
+    }
 }
 
 impl Member for Sharer {
-    type Packet = Word;
+    type Packet = Letter;
 
     fn tick(&mut self, now: Micros) {
-        if now >= self.next {
-            self.next = now + self.spans.round();
-            let want = self.holder.want(now, self.keeps as u64, self.demand, self.asks.take());
-            self.say(self.keeps, Word::Want(want), now);
-        }
+        self.call(now);
+        self.say(now);
     }
 
-    fn handle(&mut self, now: Micros, from: usize, word: Word) {
-        match word {
-            Word::Want(want) => {
-                let grant = self.keeper.want(now, from as u64, &want, self.spans);
-                self.say(from, Word::Grant(grant), now);
-            }
-            Word::Grant(grant) => {
-                self.asks = Some(grant.asks);
-                self.holder.granted(now, from as u64, &grant);
-            }
-        }
+    fn handle(&mut self, now: Micros, from: usize, letter: Letter) {
+        let answer = self.sharing.handle(now, from as u64, &letter);
+        self.out.extend(answer.map(|answer| (from, answer)));
+        self.call(now);
     }
 
-    fn sends(&mut self) -> Vec<(usize, Word)> {
+    fn sends(&mut self) -> Vec<(usize, Letter)> {
         std::mem::take(&mut self.out)
     }
 
     fn next_wake(&self) -> Micros {
-        self.next
+        let calls = if self.rate > 0.0 { self.next_call } else { Micros::MAX };
+        let held = if self.waiting.is_empty() { Micros::MAX } else { self.retry };
+        self.sharing.next_wake().min(calls).min(held)
     }
 }
 
-fn size(word: &Word) -> usize {
-    match word {
-        Word::Want(_) => 48,
-        Word::Grant(_) => 40,
-    }
+fn size(letter: &Letter) -> usize {
+    encode_letter(letter).map_or(usize::MAX, |bytes| bytes.len())
+}
+
+fn limit(calls: u64, even: Even) -> Limit {
+    Limit { calls, lend: even == Even::Rights }
 }
 
-fn fleet(members: usize, links: Links, seed: u64, demand: impl Fn(usize) -> u64) -> Fleet<Sharer> {
-    let mut fleet = Fleet::new(seed, links, size);
+fn fleet(members: usize, even: Even, seed: u64, rate: impl Fn(usize) -> f64) -> Fleet<Sharer> {
+    let mut fleet = Fleet::new(seed, Links::default(), size);
     for n in 0..members {
-        let rate = 1.0 + DRIFT * (2.0 * n as f64 / (members.max(2) - 1) as f64 - 1.0);
-        fleet.place(Start { offset: n as u64 * 1_000_003 + 10_000_000, rate });
+        let clock = 1.0 + DRIFT * (2.0 * n as f64 / (members.max(2) - 1) as f64 - 1.0);
+        fleet.place(Start { offset: n as u64 * 1_000_003 + 10_000_000, rate: clock });
         let now = fleet.clock(n);
-        fleet.start(n, Sharer::new(n, now, members, demand(n)));
+        fleet.start(n, Sharer::new(n, now, members, limit(LIMIT, even), rate(n), n as u64 + 1));
     }
     fleet
 }
 
 /// What all may use now; one that is stopped could wake at this moment.
-fn rights(fleet: &Fleet<Sharer>) -> Vec<u64> {
-    (0..fleet.len()).map(|n| fleet.member(n).map_or(0, |m| m.holder.right(fleet.clock(n)))).collect()
+fn rights(fleet: &Fleet<Sharer>) -> u64 {
+    let right = |n| fleet.member(n).and_then(|m| m.sharing.right(fleet.clock(n), DEST)).unwrap_or(0);
+    (0..fleet.len()).map(right).sum()
 }
 
-/// Plays the schedule of a seed: whatever comes, all together never may use more than the limit.
+fn total(fleet: &Fleet<Sharer>, of: impl Fn(&Sharer) -> u64) -> u64 {
+    (0..fleet.len()).filter_map(|n| fleet.member(n)).map(of).sum()
+}
+
+/// Plays the schedule of a seed: whatever comes, all together never may use more than the largest limit that one of them
+/// goes by, and over no span more calls begin than that and what each may have saved up.
 ///
 /// # Errors
 ///
-/// They may.
+/// They may, or do.
 pub fn play_rights(seed: u64) -> Result<(), Breach> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0x419);
     let members = [3, 3, 5, 9][rng.random_range(0..4)];
-    let demands: Vec<u64> = (0..members).map(|_| rng.random_range(0..LIMIT / 2)).collect();
-    let mut fleet = fleet(members, Links::default(), seed, |n| demands[n]);
+    let most_rate = LIMIT as f64 / CALL as f64 / 2.0;
+    let mut rates: Vec<f64> = (0..members).map(|_| rng.random_range(0.0..most_rate)).collect();
+    // What each goes by: told one after another, as documents are read.
+    let mut goes_by = vec![LIMIT; members];
+    let mut lives = members as u64;
+    let mut fleet = fleet(members, Even::Rights, seed, |n| rates[n]);
+    let (mut ended, mut allowed, mut least) = (0u64, 0.0f64, f64::INFINITY);
     while fleet.now() < 60 * GRANT {
         let one = rng.random_range(0..members);
-        match rng.random_range(0..9) {
+        match rng.random_range(0..10) {
             0 => fleet.links.islands(&(0..members).map(|_| rng.random_range(0..2)).collect::<Vec<_>>()),
             1 => fleet.links.heal(),
             2 => {
@@ -294,30 +325,53 @@
                 fleet.links.all = Link { loss, twice: 0.1, delay: 100, jitter, cut: false };
             }
             3 => fleet.act(&Act::Stall(one, rng.random_range(GRANT / 5..10 * GRANT))),
-            4 => fleet.act(&Act::Kill(one)),
+            4 => {
+                ended += fleet.member(one).map_or(0, |m| m.begun);
+                fleet.act(&Act::Kill(one));
+            }
             5 if fleet.member(one).is_none() => {
                 let now = fleet.clock(one);
-                fleet.start(one, Sharer::new(one, now, members, demands[one]));
+                lives += 1;
+                let told = limit(goes_by[one], Even::Rights);
+                fleet.start(one, Sharer::new(one, now, members, told, rates[one], lives));
             }
-            // Members do not agree on who keeps.
+            // Members do not agree on who is there, and so on who keeps.
             6 => {
-                let keeps = rng.random_range(0..members);
-                fleet.member_mut(one).into_iter().for_each(|m| m.keeps = keeps);
+                let view: Vec<u64> = (0..members as u64).filter(|_| rng.random_bool(0.6)).collect();
+                fleet.member_mut(one).into_iter().for_each(|m| m.view.clone_from(&view));
             }
             7 => {
-                let demand = rng.random_range(0..LIMIT / 2);
-                fleet.member_mut(one).into_iter().for_each(|m| m.demand = demand);
+                rates[one] = rng.random_range(0.0..most_rate);
+                let rate = rates[one];
+                fleet.member_mut(one).into_iter().for_each(|m| m.rate = rate);
+            }
+            8 => {
+                goes_by[one] = LIMIT / rng.random_range(1..20);
+                let (now, told) = (fleet.clock(one), limit(goes_by[one], Even::Rights));
+                let limits = BTreeMap::from([(DEST, told)]);
+                fleet.member_mut(one).into_iter().for_each(|m| m.sharing.set(now, members, &limits));
             }
             _ => {}
         }
         let until = fleet.now() + rng.random_range(0..GRANT);
         while fleet.now() < until {
-            fleet.run_until((fleet.now() + GRANT / 40).min(until));
-            let sum: u64 = rights(&fleet).iter().sum();
-            if sum > LIMIT {
-                let what = format!("{} of {} may be used", sum / CALL, LIMIT / CALL);
+            let from = fleet.now();
+            fleet.run_until((from + STEP).min(until));
+            let most = goes_by.iter().copied().max().unwrap_or(0);
+            let sum = rights(&fleet);
+            if sum > most {
+                let what = format!("{} of {} may be used", sum / CALL, most / CALL);
                 return Err(Breach { at: fleet.now(), what });
             }
+            // Calls so far against what was allowed so far, over the worst span that ends here.
+            allowed += (fleet.now() - from) as f64 / 1e6 * most as f64 / CALL as f64 * (1.0 + DRIFT);
+            let begun = (ended + total(&fleet, |m| m.begun)) as f64;
+            let saved = members as f64 + 0.1 * LIMIT as f64 / CALL as f64 + 1.0;
+            if begun - allowed - least > saved {
+                let what = format!("{:.1} calls beyond the limit", begun - allowed - least);
+                return Err(Breach { at: fleet.now(), what });
+            }
+            least = least.min(begun - allowed);
         }
     }
     Ok(())
@@ -354,61 +408,56 @@
 
 /// Measures how well a limit is used, by a demand of nine tenths of it.
 pub fn measure_rights(members: usize, even: Even, seed: u64) -> RightsFigures {
-    let all = LIMIT / 10 * 9;
+    let all = LIMIT as f64 / CALL as f64 * 0.9;
     let busy = (members / 30).max(1);
     let third = |hot: usize| {
-        move |n: usize| if n == hot { all / 3 } else { all / 3 * 2 / (members as u64 - 1).max(1) }
+        move |n: usize| if n == hot { all / 3.0 } else { all / 3.0 * 2.0 / (members as f64 - 1.0).max(1.0) }
     };
-    let few = |n: usize| if n < busy { all / busy as u64 } else { 0 };
+    let few = |n: usize| if n < busy { all / busy as f64 } else { 0.0 };
     let mut most = 0.0f64;
-    let mut used = |fleet: &Fleet<Sharer>| {
-        let floor = LIMIT / members as u64;
-        let rights: Vec<u64> = match even {
-            Even::Rights => rights(fleet),
-            Even::Split => (0..members).map(|n| if fleet.member(n).is_some() { floor } else { 0 }).collect(),
-        };
-        most = most.max(rights.iter().sum::<u64>() as f64 / LIMIT as f64);
-        let demand = |n: usize| fleet.member(n).map_or(0, |m| m.demand);
-        let use_of: u64 = rights.iter().enumerate().map(|(n, right)| demand(n).min(*right)).sum();
-        use_of as f64 / (0..members).map(demand).sum::<u64>().clamp(1, LIMIT) as f64
-    };
-    let mut mean = |fleet: &mut Fleet<Sharer>, span: Micros| {
-        let (mut sum, mut looks) = (0.0, 0.0);
+    // Calls that began, of those that came.
+    let mut used = |fleet: &mut Fleet<Sharer>, span: Micros| {
+        let before = (total(fleet, |m| m.begun), total(fleet, |m| m.came));
         let end = fleet.now() + span;
         while fleet.now() < end {
-            let next = fleet.now() + GRANT / 20;
+            let next = (fleet.now() + STEP).min(end);
             fleet.run_until(next);
-            sum += used(fleet);
-            looks += 1.0;
+            most = most.max(rights(fleet) as f64 / LIMIT as f64);
         }
-        sum / looks
+        let after = (total(fleet, |m| m.begun), total(fleet, |m| m.came));
+        (after.0 - before.0) as f64 / (after.1 - before.1).max(1) as f64
     };
-    let mut one = fleet(members, Links::default(), seed, third(1 % members));
-    mean(&mut one, 20 * GRANT);
+    let mut one = fleet(members, even, seed, third(1 % members));
+    used(&mut one, 20 * GRANT);
     let before: u64 = one.bytes.iter().sum();
-    let third_use = mean(&mut one, 20 * GRANT);
+    let third_use = used(&mut one, 20 * GRANT);
     let bytes = (one.bytes.iter().sum::<u64>() - before) as f64 / (20.0 * members as f64);
     // The third moves to the last member.
     let moves = third(members - 1);
-    (0..members).for_each(|n| one.member_mut(n).into_iter().for_each(|m| m.demand = moves(n)));
     let start = one.now();
+    for n in 0..members {
+        let now = one.clock(n);
+        one.member_mut(n).into_iter().for_each(|m| (m.rate, m.next_call) = (moves(n), now));
+    }
     let mut moved = None;
     while moved.is_none() && one.now() < start + 30 * GRANT {
-        if mean(&mut one, GRANT / 20) >= 0.9 * third_use {
+        if used(&mut one, GRANT / 4) >= 0.9 * third_use {
             moved = Some((one.now() - start) as f64 / 1e6);
         }
     }
-    mean(&mut one, 5 * GRANT);
+    used(&mut one, 5 * GRANT);
     one.links.islands(&(0..members).map(|n| usize::from(n * 2 >= members)).collect::<Vec<_>>());
-    mean(&mut one, 8 * GRANT);
-    // By then the other side's view has another keeper: that needs nobody's leave.
-    for n in (0..members).filter(|n| n * 2 >= members) {
-        one.member_mut(n).into_iter().for_each(|m| m.keeps = members.div_ceil(2));
+    used(&mut one, 8 * GRANT);
+    // By then each side's view has its own keeper: that needs nobody's leave.
+    for n in 0..members {
+        let side = (0..members).filter(|other| (other * 2 >= members) == (n * 2 >= members));
+        let view: Vec<u64> = side.map(|other| other as u64).collect();
+        one.member_mut(n).into_iter().for_each(|m| m.view.clone_from(&view));
     }
-    mean(&mut one, 8 * GRANT);
-    let cut = mean(&mut one, 10 * GRANT);
-    let mut other = fleet(members, Links::default(), seed, few);
-    mean(&mut other, 20 * GRANT);
-    let few_use = mean(&mut other, 20 * GRANT);
+    used(&mut one, 8 * GRANT);
+    let cut = used(&mut one, 10 * GRANT);
+    let mut other = fleet(members, even, seed, few);
+    used(&mut other, 20 * GRANT);
+    let few_use = used(&mut other, 20 * GRANT);
     RightsFigures { third: third_use, few: few_use, cut, moved, most, bytes }
 }
--- a/crates/checker/src/lib.rs
+++ b/crates/checker/src/lib.rs
@@ -20,6 +20,6 @@
 mod rules;
 
 pub use accounts::{Account, accounts};
-pub use fleet::{Claim, FleetBreach, FleetEntry, FleetEvent, FleetTerms, judge_fleet};
+pub use fleet::{Claim, FleetBreach, FleetEntry, FleetEvent, FleetTerms, Reach, judge_fleet, judge_reach};
 pub use judge::{Breach, Effect, Rule, Terms, judge};
 pub use ledger::{CallEnd, Entry, Event, Heard, Life, Standing};
--- a/crates/engine/src/call.rs
+++ b/crates/engine/src/call.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 use tokio::sync::mpsc::Receiver;
 use tokio::time::Instant;
-use yarrowhill_policy::api::{EndpointId, MessageId, Micros, Outcome, Report};
+use yarrowhill_policy::api::{DestId, EndpointId, MessageId, Micros, Outcome, Report};
 
 /// One message in a call.
 #[derive(Clone, Debug)]
@@ -31,6 +31,8 @@
 pub struct Call {
     /// Where it goes.
     pub endpoint: EndpointId,
+    /// Whose endpoint it is.
+    pub dest: DestId,
     /// The endpoint's address now.
     pub to: SocketAddr,
     /// The messages in it, at least one.
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -598,7 +598,7 @@
         t.in_flight += 1;
         let connect_timeout = Duration::from_micros(self.settings.connect_timeout.max(1000) as u64);
         let second_copies = self.settings.second_copies;
-        let call = Call { endpoint, to: t.to, items, second_copies, connect_timeout, orders };
+        let call = Call { endpoint, dest: t.dest, to: t.to, items, second_copies, connect_timeout, orders };
         self.transport.start(call, self.inputs.clone());
     }
 
--- a/crates/fleet/src/codec.rs
+++ b/crates/fleet/src/codec.rs
@@ -3,13 +3,16 @@
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use yarrowhill_rights::Letter;
 
 /// No UDP packet is longer (bytes): it fits a frame of Ethernet with room for tunnels.
 pub const PACKET_MOST: usize = 1400;
 /// No whole view is longer (bytes): room for the largest roster.
 pub const WHOLE_MOST: usize = 256 << 10;
-/// What a packet begins with.
+/// What a packet of membership begins with,
 const MARK: [u8; 3] = *b"yw\x01";
+/// and one about shared limits. Builds that know none of these count it as spoilt.
+const RIGHTS_MARK: [u8; 3] = *b"yr\x01";
 
 /// Why bytes are no packet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -31,20 +34,51 @@
 ///
 /// It is too long.
 pub fn encode<T: Serialize>(packet: &T, most: usize) -> Result<Vec<u8>, CodecError> {
-    let bytes = postcard::to_extend(packet, MARK.to_vec()).map_err(|_| CodecError::Spoilt)?;
+    encode_behind(&MARK, packet, most)
+}
+
+/// The bytes of a letter about shared limits.
+///
+/// # Errors
+///
+/// It is too long.
+pub fn encode_letter(letter: &Letter) -> Result<Vec<u8>, CodecError> {
+    encode_behind(&RIGHTS_MARK, letter, PACKET_MOST)
+}
+
+fn encode_behind<T: Serialize>(mark: &[u8], packet: &T, most: usize) -> Result<Vec<u8>, CodecError> {
+    let bytes = postcard::to_extend(packet, mark.to_vec()).map_err(|_| CodecError::Spoilt)?;
     if bytes.len() > most { Err(CodecError::Long(bytes.len())) } else { Ok(bytes) }
 }
 
+/// Whether some bytes are about shared limits.
+pub fn is_letter(bytes: &[u8]) -> bool {
+    bytes.starts_with(&RIGHTS_MARK)
+}
+
+/// The letter of some bytes, whatever they are.
+///
+/// # Errors
+///
+/// They are none.
+pub fn decode_letter(bytes: &[u8]) -> Result<Letter, CodecError> {
+    decode_behind(&RIGHTS_MARK, bytes, PACKET_MOST)
+}
+
 /// The packet of some bytes, whatever they are.
 ///
 /// # Errors
 ///
 /// They are none.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8], most: usize) -> Result<T, CodecError> {
+    decode_behind(&MARK, bytes, most)
+}
+
+fn decode_behind<T: DeserializeOwned>(mark: &[u8], bytes: &[u8], most: usize) -> Result<T, CodecError> {
     if bytes.len() > most {
         return Err(CodecError::Long(bytes.len()));
     }
-    let body = bytes.strip_prefix(&MARK).ok_or(CodecError::Version)?;
+    let body = bytes.strip_prefix(mark).ok_or(CodecError::Version)?;
     postcard::take_from_bytes(body).map(|(packet, _)| packet).map_err(|_| CodecError::Spoilt)
 }
 
@@ -53,6 +87,7 @@
     use super::*;
     use proptest::prelude::*;
     use yarrowhill_membership::*;
+    use yarrowhill_rights::{Offer, WORDS_MOST, Want, Word};
 
     fn largest() -> Packet {
         let inc = Incarnation { boot: u64::MAX, round: u64::MAX };
@@ -79,6 +114,18 @@
         assert_eq!(decode::<Packet>(&bytes[..40], PACKET_MOST), Err(CodecError::Spoilt));
     }
 
+    #[test]
+    fn the_largest_letter_fits_and_comes_back() {
+        let offer = Some(Offer { asked: u64::MAX, amount: u64::MAX });
+        let want = Want { at: u64::MAX, more: u64::MAX, offer };
+        let words = vec![Word::Want(u64::MAX, want); WORDS_MOST];
+        let letter = Letter { life: u64::MAX, to: Some(u64::MAX), words };
+        let bytes = encode_letter(&letter).expect("fits");
+        assert!(is_letter(&bytes) && decode::<Packet>(&bytes, PACKET_MOST) == Err(CodecError::Version));
+        assert_eq!(decode_letter(&bytes), Ok(letter));
+        assert_eq!(decode_letter(&bytes[..90]), Err(CodecError::Spoilt));
+    }
+
     proptest! {
         /// Any bytes behind the mark are read or refused, and take no room that they do not have.
         #[test]
--- a/crates/fleet/src/document.rs
+++ b/crates/fleet/src/document.rs
@@ -16,6 +16,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use yarrowhill_membership::{MEMBERS_MOST, MemberId, Roster, Seat, Timing};
+use yarrowhill_rights::{CALL, Limit};
 
 /// The longest document (bytes).
 const LONGEST: usize = 1 << 20;
@@ -23,6 +24,10 @@
 const PERIOD: std::ops::RangeInclusive<i128> = 20..=60_000;
 /// Without a word in the document (ms).
 const PERIOD_USUAL: u64 = 1000;
+/// Calls a second that a shared limit may be.
+const CALLS: std::ops::RangeInclusive<f64> = 0.001..=1e6;
+/// Limits in a document.
+const LIMITS_MOST: usize = 10_000;
 /// Faults that are told.
 const FAULTS_MOST: usize = 100;
 /// Fleets up to this size ask for support all the time; larger ones where the document says so.
@@ -57,6 +62,8 @@
     pub addresses: BTreeMap<MemberId, SocketAddr>,
     /// The protocol's spans.
     pub timing: Timing,
+    /// Limits that all share, by destination.
+    pub limits: BTreeMap<u64, Limit>,
 }
 
 struct Reader<'a> {
@@ -126,7 +133,7 @@
         let period = self.number(node, "period-ms", PERIOD).unwrap_or(PERIOD_USUAL);
         let loopback = self.flag(node, "loopback").unwrap_or(false);
         let (mut seats, mut before) = (Vec::new(), Vec::new());
-        let mut addresses = BTreeMap::new();
+        let (mut addresses, mut limits) = (BTreeMap::new(), BTreeMap::new());
         for child in node.children().map(KdlDocument::nodes).unwrap_or_default() {
             match child.name().value() {
                 "member" => seats.extend(self.member(child, loopback, &mut addresses)),
@@ -136,9 +143,10 @@
                         before.extend(self.member(old, loopback, &mut addresses));
                     }
                 }
+                "limit" => self.limit(child, &mut limits),
                 other => {
                     let what = format!("unknown node {other:?}");
-                    self.fault(child.span().offset(), what, "member and before are known");
+                    self.fault(child.span().offset(), what, "member, before and limit are known");
                 }
             }
         }
@@ -166,7 +174,27 @@
         addresses.remove(&id);
         let mut timing = Timing::of(period * 1000);
         timing.confirm = self.flag(node, "confirm").unwrap_or(roster.len() <= CONFIRM_MOST);
-        Some(Document { roster, listen, addresses, timing })
+        Some(Document { roster, listen, addresses, timing, limits })
+    }
+
+    /// `limit 10 calls=60.0`: calls a second to a destination, for all together; `lend=#false` leaves each its even part.
+    fn limit(&mut self, node: &KdlNode, limits: &mut BTreeMap<u64, Limit>) {
+        self.known(node, &["calls", "lend"]);
+        let lend = self.flag(node, "lend").unwrap_or(true);
+        let at = node.span().offset();
+        let dest = node.get(0).and_then(KdlValue::as_integer).and_then(|n| u64::try_from(n).ok());
+        let calls = node.get("calls").and_then(|v| v.as_integer().map(|n| n as f64).or_else(|| v.as_float()));
+        let (Some(dest), Some(calls)) = (dest, calls.filter(|calls| CALLS.contains(calls))) else {
+            let remedy =
+                format!("`limit DESTINATION calls=N`, from {} to {} a second", CALLS.start(), CALLS.end());
+            self.fault(at, "a limit without its destination or its calls", remedy);
+            return;
+        };
+        if limits.len() >= LIMITS_MOST {
+            self.fault(at, "too many limits", format!("{LIMITS_MOST} are the most"));
+        } else if limits.insert(dest, Limit { calls: (calls * CALL as f64) as u64, lend }).is_some() {
+            self.fault(at, format!("a second limit for {dest}"), "one for each destination");
+        }
     }
 
     fn member(
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,4 +1,4 @@
-//! Drives [`yarrowhill_membership`] with sockets, files and clocks, and tells operators who is there. It decides
+//! Drives [`yarrowhill_membership`] and [`yarrowhill_rights`] with sockets, files and clocks, and tells operators who is there. It decides
 //! nothing: what a process may do is read from [`Handle::permits`], at the last step before it is done.
 //!
 //! - `document`: the fleet's document, in KDL
@@ -17,9 +17,12 @@
 mod status;
 
 pub use clock::now;
-pub use codec::{CodecError, PACKET_MOST, WHOLE_MOST, decode, encode};
+pub use codec::{
+    CodecError, PACKET_MOST, WHOLE_MOST, decode, decode_letter, encode, encode_letter, is_letter,
+};
 pub use control::{ControlError, ask, serve};
 pub use document::{Document, Fault, read};
 pub use identity::{IdentityError, IdentityFile};
 pub use node::{FleetError, Handle, Node, Options};
-pub use status::{MemberStatus, Status};
+pub use status::{LimitsStatus, MemberStatus, NamedLimit, Status};
+pub use yarrowhill_rights::{LimitStatus, Refusals};
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -1,10 +1,10 @@
 //! The task with the sockets: UDP for packets, TCP for whole views.
 
 use crate::clock;
-use crate::codec::{PACKET_MOST, WHOLE_MOST, decode, encode};
+use crate::codec::{PACKET_MOST, WHOLE_MOST, decode, decode_letter, encode, encode_letter, is_letter};
 use crate::document::Document;
 use crate::identity::{IdentityError, IdentityFile};
-use crate::status::Status;
+use crate::status::{LimitsStatus, Status};
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
@@ -19,7 +19,10 @@
 use yarrowhill_membership::{
     Event, Life, MemberId, Membership, Micros, Output, Packet, Permits, Roster, RosterError, Whole,
 };
+use yarrowhill_rights::{Letter, Sharing, Spans};
 
+/// Clock rates are held to be right within this part of 1.
+const DRIFT: f64 = 0.01;
 /// Packets that are taken in before other tasks of the process have their turn.
 const PACKETS_A_TURN: usize = 64;
 /// An exchange of whole views takes no longer.
@@ -61,6 +64,7 @@
 
 struct Shared {
     core: Mutex<Membership>,
+    sharing: Mutex<Sharing>,
     addresses: Mutex<BTreeMap<MemberId, SocketAddr>>,
     /// Something is to be sent, or a timer has changed.
     stir: Notify,
@@ -84,6 +88,31 @@
         self.core().permits(clock::now())
     }
 
+    fn sharing(&self) -> MutexGuard<'_, Sharing> {
+        self.0.sharing.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether a call to a destination may begin now, by the limit that all share; else after how long it is to ask
+    /// again. To be asked at the last step before its first byte. `again`: it was held back before.
+    ///
+    /// # Errors
+    ///
+    /// It is to be held back.
+    pub fn begin(&self, dest: u64, again: bool) -> Result<(), Duration> {
+        let held = self.sharing().begin(clock::now(), dest, again);
+        if held.is_err() && !again {
+            self.0.stir.notify_one();
+        }
+        held.map_err(Duration::from_micros)
+    }
+
+    /// How the shared limits stand here.
+    pub fn limits(&self) -> LimitsStatus {
+        let roster = self.roster();
+        let sharing = self.sharing();
+        LimitsStatus::of(&sharing, clock::now(), &roster)
+    }
+
     /// What is told to operators.
     pub fn status(&self) -> Status {
         let dropped = [self.0.spoilt.load(Ordering::Relaxed), self.0.strangers.load(Ordering::Relaxed)];
@@ -105,6 +134,7 @@
         if document.roster.reference() != core.roster().reference() {
             core.change_roster(clock::now(), document.roster)?;
         }
+        self.sharing().set(clock::now(), core.roster().len(), &document.limits);
         *self.0.addresses.lock().unwrap_or_else(PoisonError::into_inner) = document.addresses;
         self.0.stir.notify_one();
         Ok(())
@@ -154,7 +184,7 @@
     /// The sockets or the folder can't be had, or the roster lacks this member.
     pub async fn start(options: Options<'_>) -> Result<Self, FleetError> {
         let Options { name, document, state, seed } = options;
-        let Document { roster, listen, addresses, timing } = document;
+        let Document { roster, listen, addresses, timing, limits } = document;
         let failed = |e| FleetError::Socket(listen, e);
         let udp = UdpSocket::bind(listen).await.map_err(failed)?;
         let tcp = TcpListener::bind(listen).await.map_err(failed)?;
@@ -162,9 +192,14 @@
         // By the machine's chance, not by the seed: two processes under one name may have been told the same.
         let life = Life(getrandom::u64().map_err(|e| FleetError::Chance(e.to_string()))?);
         let senders = watch::Sender::new(roster.len());
-        let core = Membership::new(clock::now(), roster, name, boot, life, timing, seed)?;
+        let (now, members) = (clock::now(), roster.len());
+        let spans = Spans::new(timing.period, DRIFT);
+        let mut sharing = Sharing::new(now, MemberId::of(name).0, life.0, members, spans);
+        sharing.set(now, members, &limits);
+        let core = Membership::new(now, roster, name, boot, life, timing, seed)?;
         let handle = Handle(Arc::new(Shared {
             core: Mutex::new(core),
+            sharing: Mutex::new(sharing),
             addresses: Mutex::new(addresses),
             stir: Notify::new(),
             senders,
@@ -186,13 +221,13 @@
         let mut buffer = [0u8; PACKET_MOST + 8];
         loop {
             self.carry_out().await;
-            let wake = self.handle.core().next_wake();
+            let wake = self.handle.core().next_wake().min(self.handle.sharing().next_wake());
             let wake = wake.min(self.owed.map_or(Micros::MAX, |(_, at)| at));
             let pause = Duration::from_micros(wake.saturating_sub(clock::now()));
             tokio::select! {
                 got = self.udp.recv_from(&mut buffer) => {
                     match got {
-                        Ok((length, from)) => self.datagram(&buffer[..length], from),
+                        Ok((length, from)) => self.datagram(&buffer[..length], from).await,
                         // A peer that is gone shows here as refused; anything worse must not spin.
                         Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => {}
                         Err(e) => {
@@ -202,7 +237,7 @@
                     }
                     for _ in 1..PACKETS_A_TURN {
                         let Ok((length, from)) = self.udp.try_recv_from(&mut buffer) else { break };
-                        self.datagram(&buffer[..length], from);
+                        self.datagram(&buffer[..length], from).await;
                     }
                     if self.handle.core().next_wake() <= clock::now() {
                         self.handle.core().tick(clock::now());
@@ -221,12 +256,23 @@
         }
     }
 
-    fn datagram(&self, bytes: &[u8], from: SocketAddr) {
+    async fn datagram(&self, bytes: &[u8], from: SocketAddr) {
         // Before anything is read: a stranger costs one look.
         let Some(id) = self.handle.known(from) else {
             self.handle.0.strangers.fetch_add(1, Ordering::Relaxed);
             return;
         };
+        if is_letter(bytes) {
+            return match decode_letter(bytes) {
+                Ok(letter) => {
+                    let answer = self.handle.sharing().handle(clock::now(), id.0, &letter);
+                    if let Some(answer) = answer {
+                        self.post(id, &answer).await;
+                    }
+                }
+                Err(_) => drop(self.handle.0.spoilt.fetch_add(1, Ordering::Relaxed)),
+            };
+        }
         match decode::<Packet>(bytes, PACKET_MOST) {
             Ok(packet) if packet.header.from == id => self.handle.core().handle(clock::now(), packet),
             Ok(_) => drop(self.handle.0.strangers.fetch_add(1, Ordering::Relaxed)),
@@ -255,6 +301,15 @@
                 }
             }
         }
+        let now = clock::now();
+        if now >= self.handle.sharing().next_wake() {
+            // One that is alone in its view, or has none yet, keeps for itself.
+            let view: Vec<u64> = self.handle.core().view().members.keys().map(|id| id.0).collect();
+            let letters = self.handle.sharing().tick(now, &view);
+            for (to, letter) in letters {
+                self.post(MemberId(to), &letter).await;
+            }
+        }
         let senders = self.handle.core().senders(clock::now());
         self.handle.0.senders.send_if_modified(|s| std::mem::replace(s, senders) != senders);
     }
@@ -268,6 +323,15 @@
         }
     }
 
+    async fn post(&self, to: MemberId, letter: &Letter) {
+        let Some(at) = self.handle.address(to) else { return };
+        match encode_letter(letter) {
+            // What the network does not take is lost, as on the way.
+            Ok(bytes) => drop(self.udp.send_to(&bytes, at).await),
+            Err(e) => tracing::error!("fleet: a letter: {e}"),
+        }
+    }
+
     fn persist(&mut self, boot: u64) {
         match self.identity.write(boot) {
             Ok(()) => {
--- a/crates/fleet/src/status.rs
+++ b/crates/fleet/src/status.rs
@@ -1,7 +1,8 @@
 //! What a forwarder tells of its fleet.
 
 use serde::{Deserialize, Serialize};
-use yarrowhill_membership::{Health, MemberId, Membership, Micros, Permits, Refused, Standing};
+use yarrowhill_membership::{Health, MemberId, Membership, Micros, Permits, Refused, Roster, Standing};
+use yarrowhill_rights::{LimitStatus, Refusals, Sharing};
 
 /// A member as this forwarder knows it.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -115,3 +116,38 @@
         }
     }
 }
+
+/// How one shared limit stands here, with its keeper's name.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct NamedLimit {
+    /// The limit as it stands.
+    #[serde(flatten)]
+    pub limit: LimitStatus,
+    /// Whom this member takes for its keeper.
+    pub keeper_name: Option<String>,
+}
+
+/// How the shared limits stand here.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct LimitsStatus {
+    /// The form of this record.
+    pub version: u32,
+    /// When (microseconds of `CLOCK_BOOTTIME`).
+    pub at: Micros,
+    /// Each of them.
+    pub limits: Vec<NamedLimit>,
+    /// Words that were not believed.
+    pub refused: Refusals,
+}
+
+impl LimitsStatus {
+    /// What a member knows at a moment.
+    pub fn of(sharing: &Sharing, now: Micros, roster: &Roster) -> Self {
+        let named = |limit: LimitStatus| {
+            let name = limit.keeper.and_then(|id| roster.name(MemberId(id)));
+            NamedLimit { keeper_name: name.map(str::to_owned), limit }
+        };
+        let limits = sharing.status(now).into_iter().map(named).collect();
+        LimitsStatus { version: 1, at: now, limits, refused: sharing.refusals() }
+    }
+}
--- a/crates/http/src/calls.rs
+++ b/crates/http/src/calls.rs
@@ -18,6 +18,9 @@
 use yarrowhill_policy::api::{Micros, Outcome, Report};
 use yarrowhill_settings::read_report;
 
+/// Longest that a call is held back with a slot and a connection before it goes back to the module.
+#[cfg(feature = "gate")]
+const HELD_MOST: std::time::Duration = std::time::Duration::from_millis(250);
 /// Longest answer that is read.
 const ANSWER_MOST: usize = 64 << 10;
 /// Longest wait that is believed (ms): far longer than any that is meant, and one that was spoilt on its way does
@@ -47,6 +50,8 @@
                 None => return pending.tell().await,
             }
         }
+        #[cfg(feature = "gate")]
+        pending.admit(&gate).await;
         // However it came to be that late.
         pending.expire(Stage::Connecting, Instant::now());
         // The last look before a byte leaves: the process may have been stopped since this was decided.
@@ -132,6 +137,26 @@
         }
     }
 
+    /// Waits until the limit that several processes share lets the call begin. What can't begin soon goes back: another
+    /// endpoint's connection, or another message, may be worth the slot.
+    #[cfg(feature = "gate")]
+    async fn admit(&mut self, gate: &Gated) {
+        let since = Instant::now();
+        let mut again = false;
+        while let Err(wait) = gate.begin(self.call.dest, again) {
+            again = true;
+            if since.elapsed() >= HELD_MOST {
+                let wait = Some(wait.as_micros() as Micros);
+                let held = self.waiting.drain(..).map(|i| AttemptEnd { wait, ..end(&i, Outcome::NotSent) });
+                self.given_up.extend(held);
+                return;
+            }
+            if self.during(tokio::time::sleep(wait), Stage::Connecting).await.is_none() {
+                return;
+            }
+        }
+    }
+
     /// Ends those whose time is up at this stage.
     fn expire(&mut self, stage: Stage, now: Instant) {
         let outcome = if stage == Stage::Written { Outcome::TimedOut } else { Outcome::NotSent };
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -9,6 +9,8 @@
 use tokio::sync::mpsc::Sender;
 use tokio::time::Instant;
 use yarrowhill_engine::{Call, Input, Transport};
+#[cfg(feature = "gate")]
+use yarrowhill_policy::api::DestId;
 use yarrowhill_policy::api::EndpointId;
 
 /// An idle connection is given up this part of the peer's limit early: a request must not cross its closing.
@@ -45,6 +47,10 @@
         self.gate.as_ref().is_none_or(|gate| gate.may_send())
     }
 
+    pub(crate) fn begin(&self, dest: DestId, again: bool) -> Result<(), Duration> {
+        self.gate.as_ref().map_or(Ok(()), |gate| gate.begin(dest, again))
+    }
+
     pub(crate) fn may_take_on(&self) -> bool {
         self.gate.as_ref().is_none_or(|gate| gate.may_take_on())
     }
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -24,7 +24,8 @@
 pub use bugs::{Bug, Scene};
 pub use count::{Cell, Counts, Kept, Suspect, count};
 pub use fleet::{
-    FleetAct, FleetPlayed, FleetScene, Folder, SceneError, Weather, directed, play_scene, play_scenes,
+    FleetAct, FleetPlayed, FleetScene, Folder, SceneError, Sharing, Weather, directed, limited, play_scene,
+    play_scenes,
 };
 pub use load::{Load, Loaded, play_load};
 pub use play::{Played, play};
--- a/crates/rig/src/load.rs
+++ b/crates/rig/src/load.rs
@@ -140,7 +140,13 @@
     let mut config = configuration(&figures, free_address()?, discovery.addr, &lines);
     let mut shards = load.shards.iter().copied();
     config["shards"] = shards.next().unwrap_or(1).into();
-    let setup = Setup { program: program.into(), folder: folder.into(), env: Vec::new(), file_most: None };
+    let setup = Setup {
+        program: program.into(),
+        folder: folder.into(),
+        env: Vec::new(),
+        file_most: None,
+        descriptors: None,
+    };
     let mut process = Process::start(setup, &config, &ledger).await?;
     config["known"] = serde_json::json!({"rev": discovery.rev(), "all": true, "targets": lines});
     let (start, next) = (Instant::now(), Arc::new(AtomicU64::new(0)));
--- a/crates/rig/src/play.rs
+++ b/crates/rig/src/play.rs
@@ -114,7 +114,13 @@
     let config = script.config(free_address()?, discovery.addr, &lines);
     let mut env = Vec::new();
     env.extend(script.die.as_ref().map(|(point, n)| ("YARROWHILL_DIE".to_owned(), format!("{point}:{n}"))));
-    let setup = Setup { program: program.into(), folder: folder.into(), env, file_most: script.file_most };
+    let setup = Setup {
+        program: program.into(),
+        folder: folder.into(),
+        env,
+        file_most: script.file_most,
+        descriptors: None,
+    };
     let process = Process::start(setup, &config, &ledger).await?;
     let start = Instant::now();
     let clients = tokio::spawn(traffic(script.clone(), rng, process.addr, dests.clone(), ledger.clone()));
--- a/crates/rights/src/lib.rs
+++ b/crates/rights/src/lib.rs
@@ -15,15 +15,16 @@
 //! A keeper that starts has forgotten what it granted out of promises that still last: it grants nothing for `wide` of
 //! `grant`. Nothing has to be on disk.
 //!
-//! **Assumptions.** Clock rates right within `drift`, on clocks that count stops; one process under a name. A limit that
-//! falls binds what is promised and granted already only when that runs out: for [`Spans::lend`] the bound is the
-//! largest limit that anybody went by. Members that go by rosters of different sizes have floors whose sum may pass the
+//! **Assumptions.** Clock rates right within `drift`, on clocks that count stops; one process under a name. Rights are
+//! parts of a limit ([`Sharing`]): one that falls binds at once whoever knows of it, and the bound is the largest limit that
+//! anybody goes by. Members that go by rosters of different sizes have floors whose sum may pass the
 //! limit by the part by which the sizes differ.
 //!
 //! - `spans`: how long what lasts
 //! - `holder`: a member's side; `keeper`: who gathers and grants
 //! - `plan`: what is granted to whom
-//! - `tokens`: from a right to single calls
+//! - `tokens`: from a right to single calls; `meter`: how many are asked for
+//! - `sharing`: all limits of one member, in parts of each, and whether a call may begin
 //!
 //! ```
 //! use yarrowhill_rights::*;
@@ -51,15 +52,22 @@
 
 mod holder;
 mod keeper;
+mod meter;
 mod plan;
+mod sharing;
 mod spans;
 mod tokens;
 
 pub use holder::{Grant, Holder, Offer, Want};
 pub use keeper::Keeper;
+pub use meter::Meter;
 pub use plan::water_fill;
+pub use sharing::{Letter, Limit, LimitStatus, Refusals, Sharing, WORDS_MOST, Word};
 pub use spans::{Micros, Spans};
 pub use tokens::Tokens;
 
 /// One call a second, in the unit of all rights: whole numbers, so that sums are exact.
 pub const CALL: u64 = 1_000_000;
+
+/// The whole of a limit, where rights are parts of it.
+pub const PARTS: u64 = 1_000_000_000_000;
--- a/crates/yarrowhill/src/demo.rs
+++ b/crates/yarrowhill/src/demo.rs
@@ -100,8 +100,13 @@
     };
     let config = configuration(&figures, free_address()?, discovery.addr, &lines);
     let folder = std::env::temp_dir().join(format!("yarrowhill-demo-{}", std::process::id()));
-    let setup =
-        Setup { program: std::env::current_exe()?, folder: folder.clone(), env: Vec::new(), file_most: None };
+    let setup = Setup {
+        program: std::env::current_exe()?,
+        folder: folder.clone(),
+        env: Vec::new(),
+        file_most: None,
+        descriptors: None,
+    };
     let mut process = Process::start(setup, &config, &ledger).await?;
     println!("The forwarder listens at {}, between {} stand-ins.", process.addr, endpoints.len());
 
--- a/crates/yarrowhill/src/main.rs
+++ b/crates/yarrowhill/src/main.rs
@@ -52,6 +52,12 @@
         #[arg(long)]
         json: bool,
     },
+    /// What the forwarders of a fleet share, as a running one knows it.
+    #[cfg(feature = "members")]
+    Fleet {
+        #[command(subcommand)]
+        what: Shared,
+    },
     /// Shows the forwarder at work between stand-ins on loopback, some of them failing, and accounts for every
     /// message.
     #[cfg(feature = "demo")]
@@ -68,6 +74,27 @@
     },
 }
 
+/// What is shared.
+#[cfg(feature = "members")]
+#[derive(Subcommand)]
+enum Shared {
+    /// Limits: what this forwarder may send to each destination, what it lends and borrows, and who keeps.
+    Limits {
+        /// The forwarder's state folder; without it BALANCER_STATE.
+        #[arg(long)]
+        state: Option<PathBuf>,
+        /// Its control socket.
+        #[arg(long)]
+        socket: Option<PathBuf>,
+        /// Again each second.
+        #[arg(long)]
+        watch: bool,
+        /// For programs: one JSON object a look.
+        #[arg(long)]
+        json: bool,
+    },
+}
+
 /// What may be done with a routing document.
 #[cfg(feature = "routes")]
 #[derive(Subcommand)]
@@ -99,6 +126,10 @@
         Command::Members { state, socket, watch, json } => {
             operate::socket(socket, state).and_then(|socket| operate::members(&socket, watch, json))
         }
+        #[cfg(feature = "members")]
+        Command::Fleet { what: Shared::Limits { state, socket, watch, json } } => {
+            operate::socket(socket, state).and_then(|socket| operate::limits(&socket, watch, json))
+        }
         #[cfg(feature = "routes")]
         Command::Config { what: Documents::Check { path, json } } => return routes::check(&path, json),
         #[cfg(feature = "demo")]
--- a/crates/yarrowhill/src/members.rs
+++ b/crates/yarrowhill/src/members.rs
@@ -5,9 +5,11 @@
 use serde_json::Value;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::mpsc::Sender;
 use yarrowhill_engine::{Gate, Input};
 use yarrowhill_fleet::{Document, Handle, Node, Options, read, serve};
+use yarrowhill_policy::api::DestId;
 
 /// The control socket's name in the state folder.
 pub const CONTROL: &str = "control";
@@ -31,6 +33,10 @@
         self.handle.permits().send_on
     }
 
+    fn begin(&self, dest: DestId, again: bool) -> Result<(), Duration> {
+        self.handle.begin(dest, again)
+    }
+
     fn may_take_on(&self) -> bool {
         self.handle.permits().take_on
     }
@@ -58,7 +64,8 @@
             async move {
                 match what.as_str() {
                     "members" => serde_json::to_value(told.status()).map_err(|e| e.to_string()),
-                    other => Err(format!("{other:?} is unknown; members is known")),
+                    "limits" => serde_json::to_value(told.limits()).map_err(|e| e.to_string()),
+                    other => Err(format!("{other:?} is unknown; members and limits are known")),
                 }
             }
         };
--- a/crates/yarrowhill/src/operate.rs
+++ b/crates/yarrowhill/src/operate.rs
@@ -5,7 +5,7 @@
 use std::fmt::Write;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
-use yarrowhill_fleet::{MemberStatus, Status, ask};
+use yarrowhill_fleet::{LimitStatus, LimitsStatus, MemberStatus, NamedLimit, Refusals, Status, ask};
 
 /// Between two looks of `--watch`.
 const LOOK: Duration = Duration::from_secs(1);
@@ -22,14 +22,29 @@
 
 /// Shows who is there, once or again and again.
 pub fn members(socket: &Path, watch: bool, json: bool) -> Result<(), Box<dyn Error>> {
+    show(socket, "members", watch, json, |told| Ok(text(&serde_json::from_value(told)?)))
+}
+
+/// Shows how the shared limits stand, once or again and again.
+pub fn limits(socket: &Path, watch: bool, json: bool) -> Result<(), Box<dyn Error>> {
+    show(socket, "limits", watch, json, |told| Ok(limits_text(&serde_json::from_value(told)?)))
+}
+
+fn show(
+    socket: &Path,
+    what: &str,
+    watch: bool,
+    json: bool,
+    text: impl Fn(Value) -> Result<String, Box<dyn Error>>,
+) -> Result<(), Box<dyn Error>> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(async {
         loop {
-            let told = ask(socket, "members", Value::Null).await?;
+            let told = ask(socket, what, Value::Null).await?;
             if json {
                 println!("{told}");
             } else {
-                print!("{}", text(&serde_json::from_value(told)?));
+                print!("{}", text(told)?);
             }
             if !watch {
                 return Ok(());
@@ -39,6 +54,37 @@
     })
 }
 
+fn limits_text(status: &LimitsStatus) -> String {
+    let mut text = format!(
+        "{:>11} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9} keeper\n",
+        "destination", "limit", "may send", "floor", "lent", "borrowed", "demand", "begun", "held back"
+    );
+    for NamedLimit { limit, keeper_name } in &status.limits {
+        let LimitStatus { calls, right, floor, lent, borrowed, demand, begun, held, .. } = limit;
+        let _ = write!(
+            text,
+            "{:>11} {calls:>9.2} {right:>9.2} {floor:>9.2} {lent:>9.2} {borrowed:>9.2} {demand:>9.2} {begun:>9} {held:>9} {}",
+            limit.limit,
+            keeper_name.as_deref().unwrap_or("-")
+        );
+        if let Some([out, pool]) = limit.keeps {
+            let _ = write!(text, ", keeps {pool:.2} and grants {out:.2}");
+        }
+        if limit.starts_ms > 0 {
+            let _ = write!(text, ", its floor from {:.1} s on", limit.starts_ms as f64 / 1000.0);
+        }
+        text.push('\n');
+    }
+    let Refusals { unknown, stale, absurd } = status.refused;
+    if status.refused != Refusals::default() {
+        let _ = writeln!(
+            text,
+            "not believed: {unknown} words about unknown limits, {stale} of another life, {absurd} promises of more than there is"
+        );
+    }
+    text
+}
+
 fn text(status: &Status) -> String {
     let Status { name, incarnation, standing, view, there, roster, senders, permits, .. } = status;
     let mut text = format!(
