--- a/crates/attack/src/bin/attack.rs
+++ b/crates/attack/src/bin/attack.rs
@@ -4,8 +4,8 @@
 use hdrhistogram::Histogram;
 use std::process::ExitCode;
 use yarrowhill_attack::{
-    Even, IdentityWorld, RightsWorld, Schedule, SupportWorld, measure, measure_rights, measure_shares, plain,
-    play, play_rights,
+    Even, IdentityWorld, RightsWorld, Schedule, SupportWorld, measure, measure_replaced, measure_rights,
+    measure_shares, plain, play, play_rights,
 };
 use yarrowhill_kernel::{Found, search};
 
@@ -65,6 +65,15 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// Replaces half of a fleet within ten periods.
+    Replaced {
+        /// Members.
+        #[arg(long, default_value_t = 200)]
+        size: usize,
+        /// Seeds, from 1 on.
+        #[arg(long, default_value_t = 3)]
+        seeds: u64,
+    },
     /// What members use of a limit while seven in ten are away, and when they return.
     Shares {
         /// Members.
@@ -118,6 +127,11 @@
             }
             true
         }
+        Command::Replaced { size, seeds } => {
+            let spans: Vec<Option<u64>> = (1..=seeds).map(|seed| measure_replaced(size, seed)).collect();
+            println!("half of {size} replaced: one view of all after {spans:?} ms");
+            spans.iter().all(Option::is_some)
+        }
         Command::Shares { sizes, loss, seeds } => {
             for size in sizes {
                 for seed in 1..=seeds {
--- a/crates/attack/src/lib.rs
+++ b/crates/attack/src/lib.rs
@@ -15,7 +15,7 @@
 mod shares;
 mod worlds;
 
-pub use measure::{Figures, Plain, measure, plain};
+pub use measure::{Figures, Plain, measure, measure_replaced, plain};
 pub use member::{Folder, Msg, Seated, World, size};
 pub use rights::{Even, RightsFigures, RightsWorld, measure_rights, play_rights};
 pub use schedule::{Breach, Fault, Schedule, play};
--- a/crates/attack/src/measure.rs
+++ b/crates/attack/src/measure.rs
@@ -114,6 +114,38 @@
     figures
 }
 
+/// Replaces half of a fleet within ten periods, each with an empty folder, and tells how long after that all hold the one
+/// view of everybody (milliseconds of the world).
+pub fn measure_replaced(size: usize, seed: u64) -> Option<u64> {
+    let mut timing = Timing::of(PERIOD);
+    timing.confirm = size <= 64;
+    let mut world = World::new(size, timing, Links::default(), seed);
+    (0..size).for_each(|n| world.start(n));
+    world.fleet.run_until(60 * PERIOD);
+    let half = size / 2;
+    for n in 0..half {
+        world.kill(n);
+        world.folders[n].boots.clear();
+        world.start(n);
+        let next = world.fleet.now() + 10 * PERIOD / half.max(1) as Micros;
+        world.fleet.run_until(next);
+    }
+    let at = world.fleet.now();
+    while world.fleet.now() < at + 3 * PATIENCE {
+        let next = world.fleet.now() + STEP;
+        world.fleet.run_until(next);
+        let views: Vec<_> = (0..size).filter_map(|n| world.fleet.member(n)).map(|s| s.core.view()).collect();
+        let all = |view: &&yarrowhill_membership::View| {
+            let boots = |n: usize| world.fleet.member(n).map(|s| s.core.record().inc.boot);
+            (0..size).all(|n| view.members.get(&world.ids[n]).copied() == boots(n))
+        };
+        if views.iter().all(|view| view.id == views[0].id) && views.first().is_some_and(all) {
+            return Some((world.fleet.now() - at) / 1000);
+        }
+    }
+    None
+}
+
 /// Notes live members that somebody holds for dead now, with the incarnation that is held so. A word of a death lasts
 /// until it is refuted, which takes rounds of probes: looks a period apart miss few.
 fn believed(world: &World, dead: Option<usize>, wrong: &mut BTreeSet<(usize, Incarnation)>) {
--- a/crates/checker/src/fleet.rs
+++ b/crates/checker/src/fleet.rs
@@ -81,6 +81,15 @@
         /// Whose endpoint.
         dest: u64,
     },
+    /// A destination told a process to wait.
+    Waits {
+        /// Whom.
+        who: usize,
+        /// Whose endpoint.
+        dest: u64,
+        /// How long (ms).
+        wait: f64,
+    },
     /// All are told another roster.
     Roster {
         /// Which.
@@ -138,6 +147,10 @@
     pub settled: f64,
     /// What was heard of another process under one's own name counts for so long after its end.
     pub forgotten: f64,
+    /// A wait of this length is not one of a limit: all keep it,
+    pub shut: f64,
+    /// once they have heard of it: after so long.
+    pub heard: f64,
     /// How late the rig's own clocks were.
     pub slack: f64,
 }
@@ -166,6 +179,7 @@
     connected(terms, size, ledger, &mut breaches);
     written(ledger, &mut breaches);
     twins(terms, ledger, &mut breaches);
+    waits(terms, ledger, &mut breaches);
     let reach = judge_reach(terms, ledger);
     // One whole call that each has saved up, and a tenth of a second of the limit; then how late the rig's clocks were.
     let allowed = size as f64 + reach.most * (0.1 + terms.slack / 1000.0) + 1.0;
@@ -356,6 +370,38 @@
     }
 }
 
+/// Nobody calls a destination that told one of them to wait for long, where all hear each other well all the time.
+fn waits(terms: &FleetTerms, ledger: &[FleetEntry], breaches: &mut Vec<FleetBreach>) {
+    let bad = |e: &FleetEntry| {
+        matches!(e.event, FleetEvent::Link { open: false, .. } | FleetEvent::Weather { rough: true })
+    };
+    if ledger.iter().any(bad) {
+        return;
+    }
+    let late = terms.heard + terms.slack;
+    // By destination: who was told, and the spans in which others keep it.
+    let mut held: BTreeMap<u64, Vec<(usize, f64, f64)>> = BTreeMap::new();
+    for entry in ledger {
+        match &entry.event {
+            FleetEvent::Waits { who, dest, wait } if *wait >= terms.shut => {
+                held.entry(*dest).or_default().push((*who, entry.at + late, entry.at + wait));
+            }
+            FleetEvent::Began { from, dest } => {
+                let spans = held.get(dest).map_or(&[][..], Vec::as_slice);
+                let kept = |(who, begin, end): &&(usize, f64, f64)| {
+                    who != from && (*begin..*end).contains(&entry.at)
+                };
+                if let Some((who, ..)) = spans.iter().find(kept) {
+                    let what = format!("{from} calls {dest}, which told {who} to wait");
+                    breaches.push(FleetBreach { at: entry.at, what });
+                    return;
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
 /// Of two that live under one name one is silent once they know, and never both for long; when one has ended the
 /// other takes on again.
 fn twins(terms: &FleetTerms, ledger: &[FleetEntry], breaches: &mut Vec<FleetBreach>) {
@@ -493,6 +539,7 @@
             | FleetEvent::Carried { .. }
             | FleetEvent::Began { .. }
             | FleetEvent::Limit { .. }
+            | FleetEvent::Waits { .. }
             | FleetEvent::Written { .. } => {}
             event => {
                 truth.since = entry.at;
@@ -548,6 +595,8 @@
         agreed: 100.0,
         settled: 50.0,
         forgotten: 300.0,
+        shut: 500.0,
+        heard: 50.0,
         slack: 0.0,
     };
 
@@ -666,4 +715,14 @@
         ledger.extend((0..20).map(|n| began(5000.0 + f64::from(n) * 100.0, 1)));
         assert!(judge_fleet(&TERMS, 2, &ledger)[0].what.contains("beyond the limit"));
     }
+
+    #[test]
+    fn a_long_wait_told_to_one_is_kept_by_all_who_could_hear_of_it() {
+        let waits = |wait| FleetEntry { at: 100.0, event: FleetEvent::Waits { who: 0, dest: 7, wait } };
+        let began = |at, from| FleetEntry { at, event: FleetEvent::Began { from, dest: 7 } };
+        let found = |wait, at, from| judge_fleet(&TERMS, 2, &[waits(wait), began(at, from)]).len();
+        assert_eq!([found(800.0, 140.0, 1), found(800.0, 950.0, 1), found(300.0, 200.0, 1)], [0; 3]);
+        // Who was told itself is judged by its own ledger.
+        assert_eq!([found(800.0, 200.0, 0), found(800.0, 200.0, 1)], [0, 1]);
+    }
 }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -257,6 +257,7 @@
                 Input::Call(news) => self.call_end(now, news),
                 Input::List(list) => self.list(now, &list),
                 Input::Noticed(batch) => self.noticed(batch),
+                #[cfg(feature = "senders")]
                 Input::Senders(n) => self.balancer.on_event(now, Event::Senders(n), &mut self.actions),
                 Input::Close => {}
             }
--- a/crates/engine/src/gate.rs
+++ b/crates/engine/src/gate.rs
@@ -23,4 +23,8 @@
     fn may_take_on(&self) -> bool;
     /// Clients may be told that it is ready.
     fn is_ready(&self) -> bool;
+    /// A destination answered a call that took so long: with a wait that it told, or by serving it.
+    fn answered(&self, dest: DestId, took: Duration, wait: Option<Duration>, served: bool) {
+        let _ = (dest, took, wait, served);
+    }
 }
--- a/crates/engine/src/input.rs
+++ b/crates/engine/src/input.rs
@@ -16,6 +16,7 @@
     /// These notices have been acknowledged.
     Noticed(Vec<Notice>),
     /// So many senders share from now on what is told for all of them.
+    #[cfg(feature = "senders")]
     Senders(usize),
     /// The process is to end.
     Close,
--- a/crates/fleet/src/codec.rs
+++ b/crates/fleet/src/codec.rs
@@ -1,8 +1,9 @@
 //! Packets as bytes: a mark, a version, and then postcard. A later version adds fields at the end, which this one leaves
 //! unread; one that changes what is there takes another number, and is not read.
 
-use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use yarrowhill_knowledge::WaitWord;
 use yarrowhill_rights::Letter;
 
 /// No UDP packet is longer (bytes): it fits a frame of Ethernet with room for tunnels.
@@ -13,6 +14,19 @@
 const MARK: [u8; 3] = *b"yw\x01";
 /// and one about shared limits. Builds that know none of these count it as spoilt.
 const RIGHTS_MARK: [u8; 3] = *b"yr\x01";
+/// And one of news about destinations.
+const NEWS_MARK: [u8; 3] = *b"yk\x01";
+/// Words in a packet of news: at their longest they fit.
+pub const NEWS_WORDS: usize = 24;
+
+/// What members tell each other of destinations.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct News {
+    /// The sender has just started, and wants to hear all that still holds.
+    pub hello: bool,
+    /// At most [`NEWS_WORDS`].
+    pub words: Vec<WaitWord>,
+}
 
 /// Why bytes are no packet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -51,6 +65,29 @@
     if bytes.len() > most { Err(CodecError::Long(bytes.len())) } else { Ok(bytes) }
 }
 
+/// The bytes of news.
+///
+/// # Errors
+///
+/// They are too long.
+pub fn encode_news(news: &News) -> Result<Vec<u8>, CodecError> {
+    encode_behind(&NEWS_MARK, news, PACKET_MOST)
+}
+
+/// Whether some bytes are news.
+pub fn is_news(bytes: &[u8]) -> bool {
+    bytes.starts_with(&NEWS_MARK)
+}
+
+/// The news of some bytes, whatever they are.
+///
+/// # Errors
+///
+/// They are none.
+pub fn decode_news(bytes: &[u8]) -> Result<News, CodecError> {
+    decode_behind(&NEWS_MARK, bytes, PACKET_MOST)
+}
+
 /// Whether some bytes are about shared limits.
 pub fn is_letter(bytes: &[u8]) -> bool {
     bytes.starts_with(&RIGHTS_MARK)
@@ -124,6 +161,12 @@
         assert!(is_letter(&bytes) && decode::<Packet>(&bytes, PACKET_MOST) == Err(CodecError::Version));
         assert_eq!(decode_letter(&bytes), Ok(letter));
         assert_eq!(decode_letter(&bytes[..90]), Err(CodecError::Spoilt));
+        let most = u64::MAX;
+        let word = WaitWord { dest: most, origin: most, order: (most, most), left: most };
+        let news = News { hello: true, words: vec![word; NEWS_WORDS] };
+        let bytes = encode_news(&news).expect("fits");
+        assert!(is_news(&bytes) && !is_letter(&bytes));
+        assert_eq!(decode_news(&bytes), Ok(news));
     }
 
     proptest! {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -18,11 +18,12 @@
 
 pub use clock::now;
 pub use codec::{
-    CodecError, PACKET_MOST, WHOLE_MOST, decode, decode_letter, encode, encode_letter, is_letter,
+    CodecError, NEWS_WORDS, News, PACKET_MOST, WHOLE_MOST, decode, decode_letter, decode_news, encode,
+    encode_letter, encode_news, is_letter, is_news,
 };
 pub use control::{ControlError, ask, serve};
 pub use document::{Document, Fault, read};
 pub use identity::{IdentityError, IdentityFile};
 pub use node::{FleetError, Handle, Node, Options};
-pub use status::{LimitsStatus, MemberStatus, NamedLimit, Status};
+pub use status::{KnowledgeStatus, LimitsStatus, MemberStatus, NamedKnown, NamedLimit, Status};
 pub use yarrowhill_rights::{LimitStatus, Refusals};
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -1,10 +1,13 @@
 //! The task with the sockets: UDP for packets, TCP for whole views.
 
 use crate::clock;
-use crate::codec::{PACKET_MOST, WHOLE_MOST, decode, decode_letter, encode, encode_letter, is_letter};
+use crate::codec::{
+    NEWS_WORDS, News, PACKET_MOST, WHOLE_MOST, decode, decode_letter, decode_news, encode, encode_letter,
+    encode_news, is_letter, is_news,
+};
 use crate::document::Document;
 use crate::identity::{IdentityError, IdentityFile};
-use crate::status::{LimitsStatus, Status};
+use crate::status::{KnowledgeStatus, LimitsStatus, Status};
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
@@ -16,6 +19,7 @@
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::{Notify, Semaphore, watch};
 use tokio::time::{sleep, timeout};
+use yarrowhill_knowledge::Knowledge;
 use yarrowhill_membership::{
     Event, Life, MemberId, Membership, Micros, Output, Packet, Permits, Roster, RosterError, Whole,
 };
@@ -29,6 +33,8 @@
 const EXCHANGE: Duration = Duration::from_secs(2);
 /// Exchanges at once that others began; further ones are closed unread.
 const EXCHANGES_MOST: usize = 4;
+/// Packets of news that one that has just started is told at once.
+const NEWS_PACKETS: usize = 4;
 /// After a failure of a socket or of the disk.
 const PAUSE: Duration = Duration::from_millis(200);
 
@@ -65,6 +71,9 @@
 struct Shared {
     core: Mutex<Membership>,
     sharing: Mutex<Sharing>,
+    knowledge: Mutex<Knowledge>,
+    /// Until when it asks the others for what holds, unless somebody has told it before.
+    newcomer: AtomicU64,
     addresses: Mutex<BTreeMap<MemberId, SocketAddr>>,
     /// Something is to be sent, or a timer has changed.
     stir: Notify,
@@ -92,13 +101,21 @@
         self.0.sharing.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Whether a call to a destination may begin now, by the limit that all share; else after how long it is to ask
-    /// again. To be asked at the last step before its first byte. `again`: it was held back before.
+    fn knowledge(&self) -> MutexGuard<'_, Knowledge> {
+        self.0.knowledge.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether a call to a destination may begin now, by what others were told and by the limit that all share; else after
+    /// how long it is to ask again. To be asked at the last step before its first byte. `again`: it was held back before.
     ///
     /// # Errors
     ///
     /// It is to be held back.
     pub fn begin(&self, dest: u64, again: bool) -> Result<(), Duration> {
+        let wait = self.knowledge().wait(clock::now(), dest);
+        if let Some(wait) = wait {
+            return Err(Duration::from_micros(wait));
+        }
         let held = self.sharing().begin(clock::now(), dest, again);
         if held.is_err() && !again {
             self.0.stir.notify_one();
@@ -106,6 +123,27 @@
         held.map_err(Duration::from_micros)
     }
 
+    /// A destination told this forwarder to wait.
+    pub fn told_wait(&self, dest: u64, span: Duration) {
+        let span = Micros::try_from(span.as_micros()).unwrap_or(Micros::MAX);
+        self.knowledge().told_wait(clock::now(), dest, span);
+        self.0.stir.notify_one();
+    }
+
+    /// A call that began so long ago was served.
+    pub fn served(&self, dest: u64, took: Duration) {
+        let now = clock::now();
+        let took = Micros::try_from(took.as_micros()).unwrap_or(Micros::MAX);
+        self.knowledge().served(now, dest, now.saturating_sub(took));
+    }
+
+    /// What is known of destinations.
+    pub fn destinations(&self) -> KnowledgeStatus {
+        let (roster, now) = (self.roster(), clock::now());
+        let newcomer = now < self.0.newcomer.load(Ordering::Relaxed);
+        KnowledgeStatus::of(&self.knowledge(), now, &roster, newcomer)
+    }
+
     /// How the shared limits stand here.
     pub fn limits(&self) -> LimitsStatus {
         let roster = self.roster();
@@ -174,6 +212,9 @@
     identity: IdentityFile,
     /// A boot that the disk has not taken yet, and when it is tried again.
     owed: Option<(u64, Micros)>,
+    /// Between two rounds of news, and when the next one is due.
+    round: Micros,
+    next_news: Micros,
 }
 
 impl Node {
@@ -197,16 +238,19 @@
         let mut sharing = Sharing::new(now, MemberId::of(name).0, life.0, members, spans);
         sharing.set(now, members, &limits);
         let core = Membership::new(now, roster, name, boot, life, timing, seed)?;
+        let round = spans.round();
         let handle = Handle(Arc::new(Shared {
             core: Mutex::new(core),
             sharing: Mutex::new(sharing),
+            knowledge: Mutex::new(Knowledge::new(MemberId::of(name).0, boot, seed ^ life.0)),
+            newcomer: AtomicU64::new(now + timing.settle_most),
             addresses: Mutex::new(addresses),
             stir: Notify::new(),
             senders,
             spoilt: AtomicU64::new(0),
             strangers: AtomicU64::new(0),
         }));
-        Ok(Node { handle, udp, tcp, identity, owed: None })
+        Ok(Node { handle, udp, tcp, identity, owed: None, round, next_news: 0 })
     }
 
     /// For the rest of the process.
@@ -222,6 +266,7 @@
         loop {
             self.carry_out().await;
             let wake = self.handle.core().next_wake().min(self.handle.sharing().next_wake());
+            let wake = wake.min(if self.has_news() { self.next_news } else { Micros::MAX });
             let wake = wake.min(self.owed.map_or(Micros::MAX, |(_, at)| at));
             let pause = Duration::from_micros(wake.saturating_sub(clock::now()));
             tokio::select! {
@@ -262,6 +307,12 @@
             self.handle.0.strangers.fetch_add(1, Ordering::Relaxed);
             return;
         };
+        if is_news(bytes) {
+            return match decode_news(bytes) {
+                Ok(news) => self.news(id, &news).await,
+                Err(_) => drop(self.handle.0.spoilt.fetch_add(1, Ordering::Relaxed)),
+            };
+        }
         if is_letter(bytes) {
             return match decode_letter(bytes) {
                 Ok(letter) => {
@@ -310,6 +361,7 @@
                 self.post(MemberId(to), &letter).await;
             }
         }
+        self.tell_news().await;
         let senders = self.handle.core().senders(clock::now());
         self.handle.0.senders.send_if_modified(|s| std::mem::replace(s, senders) != senders);
     }
@@ -323,6 +375,68 @@
         }
     }
 
+    fn is_newcomer(&self) -> bool {
+        clock::now() < self.handle.0.newcomer.load(Ordering::Relaxed)
+    }
+
+    fn has_news(&self) -> bool {
+        let members = self.handle.core().roster().len();
+        self.is_newcomer() || self.handle.knowledge().has_news(clock::now(), members)
+    }
+
+    /// Passes on what is fresh, to a few of those that are there; one that has just started asks them for all.
+    async fn tell_news(&mut self) {
+        let now = clock::now();
+        if now < self.next_news || !self.has_news() {
+            return;
+        }
+        self.next_news = now + self.round;
+        let (there, boot) = {
+            let core = self.handle.core();
+            let there: Vec<u64> =
+                core.members().filter(|(_, e)| e.record.health.is_there()).map(|(id, _)| id.0).collect();
+            (there, core.record().inc.boot)
+        };
+        if there.is_empty() {
+            return;
+        }
+        let (peers, words) = {
+            let mut knowledge = self.handle.knowledge();
+            knowledge.set_boot(boot);
+            (knowledge.peers(&there), knowledge.words(now, NEWS_WORDS, there.len() + 1))
+        };
+        let news = News { hello: self.is_newcomer(), words };
+        for to in peers {
+            self.send_news(MemberId(to), &news).await;
+        }
+    }
+
+    async fn send_news(&self, to: MemberId, news: &News) {
+        let Some(at) = self.handle.address(to) else { return };
+        match encode_news(news) {
+            // What the network does not take is lost, as on the way.
+            Ok(bytes) => drop(self.udp.send_to(&bytes, at).await),
+            Err(e) => tracing::error!("fleet: news: {e}"),
+        }
+    }
+
+    async fn news(&self, from: MemberId, news: &News) {
+        let now = clock::now();
+        let all = {
+            let mut knowledge = self.handle.knowledge();
+            news.words.iter().take(NEWS_WORDS).for_each(|word| knowledge.hear(now, word));
+            if news.hello { knowledge.all(now, NEWS_WORDS * NEWS_PACKETS) } else { Vec::new() }
+        };
+        if news.hello {
+            // An empty answer is one too: nothing holds.
+            for words in all.chunks(NEWS_WORDS).chain(all.is_empty().then_some(&[][..])) {
+                self.send_news(from, &News { hello: false, words: words.to_vec() }).await;
+            }
+        } else {
+            self.handle.0.newcomer.store(0, Ordering::Relaxed);
+        }
+    }
+
     async fn post(&self, to: MemberId, letter: &Letter) {
         let Some(at) = self.handle.address(to) else { return };
         match encode_letter(letter) {
--- a/crates/fleet/src/status.rs
+++ b/crates/fleet/src/status.rs
@@ -1,6 +1,7 @@
 //! What a forwarder tells of its fleet.
 
 use serde::{Deserialize, Serialize};
+use yarrowhill_knowledge::{Knowledge, Known};
 use yarrowhill_membership::{Health, MemberId, Membership, Micros, Permits, Refused, Roster, Standing};
 use yarrowhill_rights::{LimitStatus, Refusals, Sharing};
 
@@ -151,3 +152,40 @@
         LimitsStatus { version: 1, at: now, limits, refused: sharing.refusals() }
     }
 }
+
+/// What is known of a destination, with the name of whom it was told.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct NamedKnown {
+    /// What is known.
+    #[serde(flatten)]
+    pub known: Known,
+    /// Who was told.
+    pub origin_name: Option<String>,
+}
+
+/// What a forwarder knows of destinations.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct KnowledgeStatus {
+    /// The form of this record.
+    pub version: u32,
+    /// When (microseconds of `CLOCK_BOOTTIME`).
+    pub at: Micros,
+    /// Waits that hold.
+    pub waits: Vec<NamedKnown>,
+    /// It has just started, and nobody has told it yet what holds.
+    pub newcomer: bool,
+    /// Words that were not believed.
+    pub refused: u64,
+}
+
+impl KnowledgeStatus {
+    /// What a member knows at a moment.
+    pub fn of(knowledge: &Knowledge, now: Micros, roster: &Roster, newcomer: bool) -> Self {
+        let named = |known: Known| {
+            let origin_name = roster.name(MemberId(known.origin)).map(str::to_owned);
+            NamedKnown { known, origin_name }
+        };
+        let waits = knowledge.known(now).into_iter().map(named).collect();
+        KnowledgeStatus { version: 1, at: now, waits, newcomer, refused: knowledge.refused() }
+    }
+}
--- a/crates/http/src/calls.rs
+++ b/crates/http/src/calls.rs
@@ -12,6 +12,8 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::pin::pin;
+#[cfg(feature = "gate")]
+use std::time::Duration;
 use tokio::sync::mpsc::Sender;
 use tokio::time::{Instant, sleep_until};
 use yarrowhill_engine::{AttemptEnd, Call, CallEnd, Input, Item, Order};
@@ -20,7 +22,7 @@
 
 /// Longest that a call is held back with a slot and a connection before it goes back to the module.
 #[cfg(feature = "gate")]
-const HELD_MOST: std::time::Duration = std::time::Duration::from_millis(250);
+const HELD_MOST: Duration = Duration::from_millis(250);
 /// Longest answer that is read.
 const ANSWER_MOST: usize = 64 << 10;
 /// Longest wait that is believed (ms): far longer than any that is meant, and one that was spoilt on its way does
@@ -68,10 +70,20 @@
             kept,
             "written"
         );
+        #[cfg(feature = "gate")]
+        let began = Instant::now();
         match pending.during(exchange(open, request), Stage::Written).await {
             // A connection that was kept has turned out to be of no use: the call opens another one.
             Some(Err(Silence::Unwritten)) if kept => connection = None,
-            answer => break answer,
+            answer => {
+                #[cfg(feature = "gate")]
+                if let Some(Ok(answer)) = &answer {
+                    let wait = answer.wait.and_then(|wait| u64::try_from(wait).ok());
+                    let (wait, served) = (wait.map(Duration::from_micros), answer.status == StatusCode::OK);
+                    gate.answered(pending.call.dest, began.elapsed(), wait, served);
+                }
+                break answer;
+            }
         }
     };
     let Some(answer) = answer else {
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -51,6 +51,10 @@
         self.gate.as_ref().map_or(Ok(()), |gate| gate.begin(dest, again))
     }
 
+    pub(crate) fn answered(&self, dest: DestId, took: Duration, wait: Option<Duration>, served: bool) {
+        self.gate.iter().for_each(|gate| gate.answered(dest, took, wait, served));
+    }
+
     pub(crate) fn may_take_on(&self) -> bool {
         self.gate.as_ref().is_none_or(|gate| gate.may_take_on())
     }
--- /dev/null
+++ b/crates/knowledge/src/waits.rs
@@ -0,0 +1,315 @@
+//! Waits that destinations told.
+
+use crate::Micros;
+use crate::credit::Credit;
+use rand::SeedableRng;
+use rand::seq::IndexedRandom;
+use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// The longest wait that is believed (microseconds), as of destinations themselves.
+pub const WAIT_MOST: Micros = 60_000_000;
+/// Destinations about which anything is kept; further ones are not heard of.
+const DESTS_MOST: usize = 10_000;
+/// Origins whose words about one destination are kept.
+const ORIGINS_MOST: usize = 16;
+/// To how many members a fresh word goes in a round,
+const FAN: usize = 3;
+/// and in how many rounds, times the logarithm (base 2) of the fleet's size.
+const ROUNDS: f64 = 1.5;
+
+/// One origin's word about one destination.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WaitWord {
+    /// The destination.
+    pub dest: u64,
+    /// Who was told the wait.
+    pub origin: u64,
+    /// The origin's boot, and its count of words under that.
+    pub order: (u64, u64),
+    /// How long is left (microseconds).
+    pub left: Micros,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    order: (u64, u64),
+    until: Micros,
+    heard: Micros,
+    credit: Credit,
+    /// Rounds in which it was passed on.
+    told: u32,
+}
+
+/// What is known of one destination, for those who ask.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Known {
+    /// Which.
+    pub dest: u64,
+    /// Who was told.
+    pub origin: u64,
+    /// How long it holds here (microseconds).
+    pub left: Micros,
+    /// How long ago it was heard of (microseconds).
+    pub age: Micros,
+}
+
+/// What one member knows.
+#[derive(Clone, Debug)]
+pub struct Knowledge {
+    me: u64,
+    boot: u64,
+    count: u64,
+    rng: ChaCha8Rng,
+    dests: BTreeMap<u64, BTreeMap<u64, Entry>>,
+    /// Words that were not believed: too long, of too many origins, about too many destinations, in one's own name.
+    refused: u64,
+}
+
+impl Knowledge {
+    /// A member that starts, with the boot number that it speaks under and a seed.
+    pub fn new(me: u64, boot: u64, seed: u64) -> Self {
+        let rng = ChaCha8Rng::seed_from_u64(seed);
+        Knowledge { me, boot, count: 0, rng, dests: BTreeMap::new(), refused: 0 }
+    }
+
+    /// It speaks under another boot number from now on.
+    pub fn set_boot(&mut self, boot: u64) {
+        self.boot = self.boot.max(boot);
+    }
+
+    /// A destination told this member to wait.
+    pub fn told_wait(&mut self, now: Micros, dest: u64, span: Micros) {
+        self.count += 1;
+        let order = (self.boot, self.count);
+        let until = now.saturating_add(span.min(WAIT_MOST));
+        if self.dests.len() >= DESTS_MOST && !self.dests.contains_key(&dest) {
+            return;
+        }
+        let own = Entry { order, until, heard: now, credit: Credit::new(now), told: 0 };
+        let entry = self.dests.entry(dest).or_default().entry(self.me).or_insert(own);
+        // Of two waits that were told the later end holds.
+        *entry = Entry { until: own.until.max(entry.until), ..own };
+    }
+
+    /// A call that began at a moment was served: what was heard before then does not hold here any more.
+    pub fn served(&mut self, now: Micros, dest: u64, began: Micros) {
+        let me = self.me;
+        if let Some(origins) = self.dests.get_mut(&dest) {
+            let over = |(origin, e): (&u64, &mut Entry)| {
+                if *origin != me && e.heard < began {
+                    e.until = e.until.min(now);
+                }
+            };
+            origins.iter_mut().for_each(over);
+        }
+    }
+
+    /// A word has come.
+    pub fn hear(&mut self, now: Micros, word: &WaitWord) {
+        let WaitWord { dest, origin, order, left } = *word;
+        let known = self.dests.get(&dest);
+        let full = known.map_or(self.dests.len() >= DESTS_MOST, |origins| {
+            origins.len() >= ORIGINS_MOST && !origins.contains_key(&origin)
+        });
+        if origin == self.me || left > WAIT_MOST || full {
+            self.refused += 1;
+            return;
+        }
+        let fresh = || Entry { order: (0, 0), until: 0, heard: now, credit: Credit::new(now), told: 0 };
+        let entry = self.dests.entry(dest).or_default().entry(origin).or_insert_with(fresh);
+        if order <= entry.order {
+            return;
+        }
+        let until = entry.credit.spend(now, entry.until, now.saturating_add(left));
+        *entry = Entry { order, until, heard: now, credit: entry.credit, told: 0 };
+    }
+
+    /// How long a call to a destination has to wait by what the *others* say; what was told to this member itself binds its
+    /// decisions without that.
+    pub fn wait(&self, now: Micros, dest: u64) -> Option<Micros> {
+        let others = self.dests.get(&dest)?.iter().filter(|(origin, _)| **origin != self.me);
+        others.map(|(_, entry)| entry.until.saturating_sub(now)).max().filter(|left| *left > 0)
+    }
+
+    /// Words to pass on in a round, those that were passed on the least first, and at most so many; `members` are there.
+    pub fn words(&mut self, now: Micros, most: usize, members: usize) -> Vec<WaitWord> {
+        self.forget(now);
+        let rounds = (ROUNDS * (members as f64 + 1.0).log2()).ceil() as u32;
+        let mut fresh: Vec<(u32, u64, u64)> = Vec::new();
+        for (dest, origins) in &self.dests {
+            let still = |e: &Entry| e.told < rounds && e.until > now;
+            fresh
+                .extend(origins.iter().filter(|(_, e)| still(e)).map(|(origin, e)| (e.told, *dest, *origin)));
+        }
+        fresh.sort_unstable();
+        fresh.truncate(most);
+        let mut words = Vec::new();
+        for (_, dest, origin) in fresh {
+            if let Some(entry) = self.dests.get_mut(&dest).and_then(|origins| origins.get_mut(&origin)) {
+                entry.told += 1;
+                words.push(WaitWord { dest, origin, order: entry.order, left: entry.until - now });
+            }
+        }
+        words
+    }
+
+    /// Whether there is anything to pass on.
+    pub fn has_news(&self, now: Micros, members: usize) -> bool {
+        let rounds = (ROUNDS * (members as f64 + 1.0).log2()).ceil() as u32;
+        self.dests.values().flat_map(BTreeMap::values).any(|e| e.told < rounds && e.until > now)
+    }
+
+    /// To whom a round's words go, of those that are there.
+    pub fn peers(&mut self, there: &[u64]) -> Vec<u64> {
+        there.sample(&mut self.rng, FAN).copied().collect()
+    }
+
+    /// Everything that still holds, for one that has just come: at most so many words, the longest first.
+    pub fn all(&self, now: Micros, most: usize) -> Vec<WaitWord> {
+        let mut words: Vec<WaitWord> = Vec::new();
+        for (dest, origins) in &self.dests {
+            words.extend(origins.iter().filter(|(_, e)| e.until > now).map(|(origin, e)| WaitWord {
+                dest: *dest,
+                origin: *origin,
+                order: e.order,
+                left: e.until - now,
+            }));
+        }
+        words.sort_unstable_by_key(|word| std::cmp::Reverse(word.left));
+        words.truncate(most);
+        words
+    }
+
+    /// What holds, for those who ask.
+    pub fn known(&self, now: Micros) -> Vec<Known> {
+        let one = |dest: u64, origin: u64, e: &Entry| Known {
+            dest,
+            origin,
+            left: e.until.saturating_sub(now),
+            age: now.saturating_sub(e.heard),
+        };
+        let holds = self.dests.iter().flat_map(|(dest, origins)| {
+            origins.iter().filter(|(_, e)| e.until > now).map(move |(origin, e)| one(*dest, *origin, e))
+        });
+        holds.collect()
+    }
+
+    /// Words that were not believed.
+    pub fn refused(&self) -> u64 {
+        self.refused
+    }
+
+    /// What has run out and whose credit is whole again says nothing any more. Its order is forgotten with it: a copy of it that
+    /// was on its way for so long would count once more, for what it says is left.
+    fn forget(&mut self, now: Micros) {
+        for origins in self.dests.values_mut() {
+            origins.retain(|_, e| e.until > now || e.credit.left(now) < crate::CREDIT_MOST);
+        }
+        self.dests.retain(|_, origins| !origins.is_empty());
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    const S: Micros = 1_000_000;
+
+    #[test]
+    fn a_wait_reaches_others_and_newcomers_and_ends() {
+        let mut one = Knowledge::new(1, 1, 1);
+        let (mut two, mut late) = (Knowledge::new(2, 1, 2), Knowledge::new(3, 1, 3));
+        one.told_wait(0, 10, 30 * S);
+        assert_eq!(one.wait(S, 10), None, "its own is the module's matter");
+        assert!(one.has_news(S, 3));
+        one.words(S, 9, 3).iter().for_each(|word| two.hear(S, word));
+        assert_eq!(two.wait(S, 10), Some(29 * S));
+        // By way of the second, ten seconds later.
+        two.all(11 * S, 9).iter().for_each(|word| late.hear(11 * S, word));
+        assert_eq!(late.wait(11 * S, 10), Some(19 * S));
+        assert_eq!(late.wait(30 * S, 10), None);
+        // It is not news for ever.
+        (0..9).for_each(|_| drop(one.words(2 * S, 9, 3)));
+        assert!(!one.has_news(2 * S, 3));
+    }
+
+    #[test]
+    fn own_fresh_evidence_outranks_what_was_heard() {
+        let mut one = Knowledge::new(1, 1, 1);
+        let word = WaitWord { dest: 10, origin: 2, order: (1, 1), left: 20 * S };
+        one.hear(5 * S, &word);
+        one.served(6 * S, 10, 4 * S);
+        assert!(one.wait(6 * S, 10).is_some(), "that call had begun before");
+        one.served(7 * S, 10, 6 * S);
+        assert_eq!(one.wait(7 * S, 10), None);
+        one.hear(8 * S, &word);
+        assert_eq!(one.wait(8 * S, 10), None, "the same word again is no news");
+    }
+
+    /// Whoever says "an hour" again and again holds a destination for a minute, and then a quarter of the time.
+    #[test]
+    fn the_harm_of_a_liar_is_bounded() {
+        let mut one = Knowledge::new(1, 1, 1);
+        one.hear(0, &WaitWord { dest: 10, origin: 2, order: (1, 0), left: 3600 * S });
+        assert_eq!((one.wait(0, 10), one.refused()), (None, 1));
+        let mut held = 0;
+        for second in 0..600 {
+            one.hear(second * S, &WaitWord { dest: 10, origin: 2, order: (1, second + 1), left: 60 * S });
+            held += u64::from(one.wait(second * S + S / 2, 10).is_some());
+        }
+        assert!((60..=60 + 600 / 4 + 1).contains(&held), "{held} of 600");
+        // Another origin's word is another matter.
+        one.hear(601 * S, &WaitWord { dest: 10, origin: 3, order: (1, 1), left: 10 * S });
+        assert_eq!(one.wait(601 * S, 10), Some(10 * S));
+    }
+
+    #[test]
+    fn what_others_make_it_hold_is_bounded() {
+        let mut one = Knowledge::new(1, 1, 1);
+        for n in 0..20_000 {
+            one.hear(0, &WaitWord { dest: n, origin: 2, order: (1, 1), left: 60 * S });
+            one.hear(0, &WaitWord { dest: 5, origin: n + 3, order: (1, 1), left: 60 * S });
+        }
+        assert_eq!((one.dests.len(), one.dests[&5].len()), (DESTS_MOST, ORIGINS_MOST));
+        one.words(200 * S, 9, 300);
+        one.words(600 * S, 9, 300);
+        assert_eq!(one.dests.len(), 0);
+    }
+
+    proptest! {
+        /// Words heard at one moment make the same of whoever hears them, in any order and however often.
+        #[test]
+        fn the_order_of_words_does_not_matter(
+            words in proptest::collection::vec((0..3u64, 2..5u64, 0..4u64, 0..60u64), 0..12),
+            seed in any::<u64>(),
+        ) {
+            // One origin says one thing under one number.
+            let word = |(dest, origin, count, _): &(u64, u64, u64, u64)| {
+                let left = (dest * 7 + origin * 11 + count * 13) % 60 * S;
+                WaitWord { dest: *dest, origin: *origin, order: (1, *count + 1), left }
+            };
+            let words: Vec<WaitWord> = words.iter().map(word).collect();
+            let mut shuffled = [words.clone(), words.clone()].concat();
+            rand::seq::SliceRandom::shuffle(&mut shuffled[..], &mut ChaCha8Rng::seed_from_u64(seed));
+            let heard = |words: &[WaitWord]| {
+                let mut one = Knowledge::new(1, 1, 1);
+                words.iter().for_each(|word| one.hear(S, word));
+                one
+            };
+            let (a, b) = (heard(&words), heard(&shuffled));
+            let orders = |k: &Knowledge| -> Vec<(u64, u64, (u64, u64))> {
+                let of = |(dest, origins): (&u64, &BTreeMap<u64, Entry>)| {
+                    origins.iter().map(|(o, e)| (*dest, *o, e.order)).collect::<Vec<_>>()
+                };
+                k.dests.iter().flat_map(of).collect()
+            };
+            prop_assert_eq!(orders(&a), orders(&b));
+            for dest in 0..3 {
+                prop_assert_eq!(a.wait(S, dest), b.wait(S, dest));
+            }
+        }
+    }
+}
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -260,6 +260,7 @@
     /// one process share it.
     Quotas(Vec<f64>),
     /// So many senders share from now on what is told for all: [`Settings::senders`] as it is now.
+    #[cfg(feature = "senders")]
     Senders(usize),
     /// A message was handed in; it is owed one final answer.
     Submit(Submit),
--- a/crates/policy/src/balancer/mod.rs
+++ b/crates/policy/src/balancer/mod.rs
@@ -59,6 +59,7 @@
                 let tenants = Arc::make_mut(&mut self.e).s.tenants.iter_mut();
                 tenants.zip(quotas).for_each(|(tenant, quota)| tenant.quota = quota);
             }
+            #[cfg(feature = "senders")]
             Event::Senders(senders) => {
                 // Paces shrink at once, before those who come take their part; they grow as room is seen.
                 let less = Arc::make_mut(&mut self.e).share_among(senders).min(1.0);
--- a/crates/rig/src/bugs.rs
+++ b/crates/rig/src/bugs.rs
@@ -1,7 +1,7 @@
 //! Known bugs, each a small patch beside the rig: the product's own text knows nothing of them. A rig that does not
 //! catch them proves nothing by its silence.
 
-use crate::fleet::{FleetAct, FleetScene, Folder};
+use crate::fleet::{FleetAct, FleetScene, Folder, Sharing};
 use crate::load::Load;
 use crate::script::{Act, Dest, Script};
 use yarrowhill_standins::Faults;
@@ -74,6 +74,16 @@
     WakeBlind = "wake-without-looking",
     /// A new boot number is spoken under before it is on disk.
     SpeakEarly = "speak-before-the-boot-is-on-disk",
+    /// What is lent goes on being used by the lender.
+    UseLent = "use-what-is-lent",
+    /// One that starts uses its whole part at once, whatever its earlier life lent.
+    ForgetPromises = "forget-promises-at-a-start",
+    /// A keeper counts a promise from when it came, not from when it asked for it.
+    PromiseFromArrival = "count-a-promise-from-its-arrival",
+    /// A borrower counts a grant from when it came, not from when it asked for it.
+    GrantFromArrival = "count-a-grant-from-its-arrival",
+    /// A wait that others were told holds nothing back.
+    DeafToWaits = "call-during-a-wait-of-others",
 }
 
 /// What is played against a bug.
@@ -98,9 +108,42 @@
         self.fleet().is_some()
     }
 
+    /// One of shared limits: `attack` must catch that too.
+    pub fn is_of_rights(self) -> bool {
+        use Bug::{ForgetPromises, GrantFromArrival, PromiseFromArrival, UseLent};
+        matches!(self, UseLent | ForgetPromises | PromiseFromArrival | GrantFromArrival)
+    }
+
+    /// The scene over several processes that must show a bug of shared limits: four lend to one that is busy, and the
+    /// traffic moves to them.
+    fn limited(self) -> Option<FleetScene> {
+        use FleetAct::{Busy, Kill, Start, Weather};
+        let late = crate::fleet::Weather { delay: 500.0, ..Default::default() };
+        let acts = match self {
+            Bug::UseLent => (0..10).map(|n| (4000.0 + 700.0 * f64::from(n), Busy(n as usize % 2))).collect(),
+            Bug::ForgetPromises => {
+                let kills = (1..5).map(|n| (5000.0, Kill(n)));
+                let starts = (1..5).map(|n| (5100.0, Start(n, Folder::Kept)));
+                kills.chain(starts).chain([(5000.0, Busy(1))]).collect()
+            }
+            // Every message is half a grant late.
+            Bug::PromiseFromArrival | Bug::GrantFromArrival => {
+                let moves = (0..10).map(|n| (5000.0 + 900.0 * f64::from(n), Busy(n as usize % 2)));
+                [(500.0, Weather(late))].into_iter().chain(moves).collect()
+            }
+            _ => return None,
+        };
+        let mut scene = FleetScene::new(self.name(), 5, acts);
+        // Long grants: what goes wrong goes wrong for longer.
+        scene.period = 1000;
+        (scene.limit, scene.busy, scene.rate) = (Some((60.0, Sharing::Rights)), Some(0.9), 30.0);
+        scene.end = 18_000.0;
+        Some(scene)
+    }
+
     /// The scene over several processes that must show it.
     fn fleet(self) -> Option<FleetScene> {
-        use FleetAct::{Heal, Islands, Kill, Stall, Start};
+        use FleetAct::{Heal, Islands, Kill, Shut, Stall, Start};
         let cut = |of: [usize; 3]| Islands(of.to_vec());
         let acts = match self {
             // Held for dead, and then back.
@@ -126,9 +169,14 @@
                 (300.0, Kill(1)),
                 (1500.0, Start(1, Folder::Kept)),
                 (4000.0, Kill(1)),
-                (4100.0, Start(1, Folder::Emptied)),
+                (4100.0, cut([0, 1, 0])),
+                (4200.0, Start(1, Folder::Emptied)),
+                (5600.0, FleetAct::Disk(1, true)),
+                (5700.0, Heal),
+                (9000.0, FleetAct::Disk(1, false)),
             ],
-            _ => return None,
+            Bug::DeafToWaits => vec![(2000.0, Shut(0, 0, 6000.0))],
+            _ => return self.limited(),
         };
         Some(FleetScene::new(self.name(), 3, acts))
     }
--- a/crates/rig/src/fleet/play.rs
+++ b/crates/rig/src/fleet/play.rs
@@ -2,7 +2,7 @@
 
 use super::relay::Weather;
 use super::scene::{FORGOTTEN, FleetAct, FleetScene};
-use super::stage::{FIRST_DEST, Fleet, Seat, class, terms};
+use super::stage::{FAIL_BACK, FIRST_DEST, Fleet, Seat, class, terms};
 use crate::play::{Played, ms, watch_clock};
 use rand::{RngExt, SeedableRng};
 use serde_json::Value;
@@ -10,7 +10,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -98,6 +98,7 @@
     (0..scene.size).for_each(|n| book.write(FleetEvent::Started(n)));
     scene.limit.into_iter().for_each(|(calls, _)| book.write(FleetEvent::Limit { calls }));
     let identities: Arc<[PathBuf]> = fleet.seats.iter().map(Seat::identity).collect();
+    let busy = Arc::new(AtomicUsize::new(0));
     let mut observers = JoinSet::new();
     let mut clients = JoinSet::new();
     for (n, seat) in fleet.seats.iter().enumerate() {
@@ -112,12 +113,14 @@
         let (to, dests, ledger) = (seat.process.addr, seat.stage.dests.clone(), seat.ledger.clone());
         // Some time before the end, so that every message can have its own.
         let until = book.start + ms((scene.end - 3500.0).max(500.0));
-        clients.spawn(traffic(scene.seed << 8 | n as u64, scene.rate_of(n), to, dests, ledger, until));
+        let (scene_of, busy_of) = (scene.clone(), busy.clone());
+        let rate = move || scene_of.rate_of(n, busy_of.load(Ordering::Relaxed));
+        clients.spawn(traffic(scene.seed << 8 | n as u64, rate, to, dests, ledger, until));
     }
     let (later, down, twins) = (Vec::new(), BTreeSet::new(), BTreeMap::new());
     let (fleet_now, book_now) = (&mut fleet, book.clone());
     let mut acting =
-        Acting { scene, programs, fleet: fleet_now, book: book_now, later, down, twins, identities };
+        Acting { scene, programs, busy, fleet: fleet_now, book: book_now, later, down, twins, identities };
     let mut acts = scene.acts.iter().peekable();
     let mut crashed = Vec::new();
     let end = book.start + ms(scene.end);
@@ -159,17 +162,26 @@
         rules.extend(kept.map(|b| (n, b)));
     }
     let mut ledger = book.entries.lock().unwrap_or_else(PoisonError::into_inner).clone();
-    if scene.limit.is_some() {
+    let waits = scene.acts.iter().any(|(_, act)| matches!(act, FleetAct::Shut(..)));
+    if scene.limit.is_some() || waits {
         for (from, seat) in fleet.seats.iter().enumerate() {
             // The seat's clock began when its stand-ins did.
             let before = book.start.elapsed().as_secs_f64() * 1000.0 - seat.ledger.now();
-            let began = seat.ledger.entries().into_iter().filter_map(|entry| match entry.event {
-                Event::Began { dest, .. } => {
-                    Some(FleetEntry { at: entry.at + before, event: FleetEvent::Began { from, dest } })
-                }
-                _ => None,
+            let mut dests = BTreeMap::new();
+            let told = seat.ledger.entries().into_iter().filter_map(|entry| {
+                let event = match entry.event {
+                    Event::Began { call, dest, .. } => {
+                        dests.insert(call, dest);
+                        FleetEvent::Began { from, dest }
+                    }
+                    Event::Answered { call, wait_ms: Some(wait), .. } => {
+                        FleetEvent::Waits { who: from, dest: *dests.get(&call)?, wait }
+                    }
+                    _ => return None,
+                };
+                Some(FleetEntry { at: entry.at + before, event })
             });
-            ledger.extend(began);
+            ledger.extend(told);
         }
         ledger.sort_by(|a, b| a.at.total_cmp(&b.at));
     }
@@ -221,12 +233,17 @@
     // Local health stretches a probe to four periods at most.
     let known_few = (4.0 * scene.size as f64 + 18.0) * period;
     let (agreed, forgotten) = (12.0 * period, FORGOTTEN * period);
-    FleetTerms { known, known_few, agreed, settled, forgotten, slack: 200.0 + 4.0 * lateness }
+    // A wait that is long is of a door that is shut (a quarter of what it takes to get warm); it is told on to three in
+    // each quarter of a period, and a packet may be lost.
+    let (shut, heard) = (FAIL_BACK[3] / 4.0, 4.0 * period);
+    FleetTerms { known, known_few, agreed, settled, forgotten, shut, heard, slack: 200.0 + 4.0 * lateness }
 }
 
 struct Acting<'a> {
     scene: &'a FleetScene,
     programs: &'a [&'a Path],
+    /// To whom most traffic comes.
+    busy: Arc<AtomicUsize>,
     fleet: &'a mut Fleet,
     book: Book,
     later: Vec<(Instant, Later)>,
@@ -316,6 +333,11 @@
                 let (to, many, span) = (self.fleet.seats[*n].process.addr, *connections, ms(*span));
                 tokio::spawn(async move { crowd(to, many, span).await });
             }
+            FleetAct::Shut(n, dest, span) => {
+                let dests = &self.fleet.seats[*n].stage.dests;
+                dests.get(*dest).into_iter().for_each(|dest| dest.go_down(true, *span));
+            }
+            FleetAct::Busy(n) => self.busy.store(*n, Ordering::Relaxed),
             FleetAct::Disk(n, full) => {
                 self.fleet.seats[*n].fill_disk(*full)?;
                 self.book.write(FleetEvent::Disk { who: *n, full: *full });
@@ -334,8 +356,9 @@
                 self.twins.insert(*n, (seat, looks));
                 self.later.push((Instant::now() + ms(*span), Later::TwinEnds(*n)));
             }
-            FleetAct::Joint(_) | FleetAct::Settle | FleetAct::Limit(_) => {
+            FleetAct::Joint(_) | FleetAct::Settle | FleetAct::Limit(_) | FleetAct::Move(_) => {
                 match act {
+                    FleetAct::Move(n) => self.fleet.move_away(self.scene, *n).await?,
                     FleetAct::Joint(next) => self.fleet.rename(self.scene, Some(next))?,
                     FleetAct::Limit(calls) => self.fleet.set_limit(self.scene, *calls)?,
                     _ => self.fleet.rename(self.scene, None)?,
@@ -512,7 +535,7 @@
 /// A client of one process, that hands in messages one after another.
 async fn traffic(
     seed: u64,
-    rate: f64,
+    rate: impl Fn() -> f64 + Send + 'static,
     to: SocketAddr,
     dests: Vec<Destination>,
     ledger: Ledger,
@@ -522,7 +545,7 @@
     let mut clients = JoinSet::new();
     let mut at = Instant::now();
     for n in 0u64.. {
-        at += Duration::from_secs_f64(-rng.random::<f64>().max(1e-9).ln() / rate.max(0.1));
+        at += Duration::from_secs_f64(-rng.random::<f64>().max(1e-9).ln() / rate().max(0.1));
         if at > until {
             break;
         }
--- a/crates/rig/src/fleet/relay.rs
+++ b/crates/rig/src/fleet/relay.rs
@@ -60,6 +60,9 @@
     free: Instant,
 }
 
+/// The direction that answers go by; another one where the receiver of those has moved.
+pub(super) type Back = Arc<Mutex<Relay>>;
+
 /// One direction.
 #[derive(Clone)]
 pub(super) struct Relay {
@@ -135,7 +138,7 @@
     }
 
     /// Carries packets and connections to the receivers, from the address of the way back, until the task ends.
-    pub(super) async fn run(self, tcp: TcpListener, to: Vec<SocketAddr>, back: Relay) {
+    pub(super) async fn run(self, tcp: TcpListener, to: Vec<SocketAddr>, back: Back) {
         let mut streams = JoinSet::new();
         let room = Arc::new(tokio::sync::Semaphore::new(QUEUE));
         let mut buffer = vec![0u8; 4096];
@@ -149,7 +152,8 @@
                             continue;
                         };
                         self.counts.carried.fetch_add(1, Ordering::Relaxed);
-                        let (bytes, to, from) = (buffer[..length].to_vec(), to.clone(), back.socket.clone());
+                        let from = now(&back).socket;
+                        let (bytes, to) = (buffer[..length].to_vec(), to.clone());
                         tokio::spawn(async move {
                             let _place = place;
                             sleep_until(at).await;
@@ -165,7 +169,7 @@
                     while streams.try_join_next().is_some() {}
                     if streams.len() < STREAMS {
                         self.counts.streams.fetch_add(1, Ordering::Relaxed);
-                        streams.spawn(carry_stream(stream, to.clone(), self.clone(), back.clone()));
+                        streams.spawn(carry_stream(stream, to.clone(), self.clone(), now(&back)));
                     }
                 }
             }
@@ -173,6 +177,10 @@
     }
 }
 
+fn now(back: &Back) -> Relay {
+    back.lock().unwrap_or_else(PoisonError::into_inner).clone()
+}
+
 /// A connection: bytes of each direction under the weather of that direction.
 async fn carry_stream(stream: TcpStream, to: Vec<SocketAddr>, there: Relay, back: Relay) {
     if there.weather().half_open {
--- a/crates/rig/src/fleet/scene.rs
+++ b/crates/rig/src/fleet/scene.rs
@@ -54,8 +54,14 @@
     Joint(Vec<usize>),
     /// All documents name the last members alone, and all read them again.
     Settle,
+    /// One that is down gets another address; all documents tell it, and all read them again.
+    Move(usize),
     /// All documents tell this limit from now on (calls a second to each destination), and all read them again.
     Limit(f64),
+    /// The endpoints of one for its first or second destination shut their door for so long (ms), and say so.
+    Shut(usize, usize, f64),
+    /// What came to the busy one comes to this one from now on.
+    Busy(usize),
 }
 
 /// How processes keep to a limit that they share.
@@ -114,12 +120,12 @@
         FleetScene { name, seed: 1, size, period: PERIOD, acts, end, rate: RATE, descriptors, limit, busy }
     }
 
-    /// Messages a second to a process.
-    pub(super) fn rate_of(&self, process: usize) -> f64 {
+    /// Messages a second to a process, where most come to `busy`.
+    pub(super) fn rate_of(&self, process: usize, busy: usize) -> f64 {
         let (all, others) = (self.rate * self.size as f64, (self.size as f64 - 1.0).max(1.0));
         match self.busy {
-            Some(busy) if process == 0 => all * busy,
-            Some(busy) => all * (1.0 - busy) / others,
+            Some(part) if process == busy => all * part,
+            Some(part) => all * (1.0 - part) / others,
             None => self.rate,
         }
     }
@@ -257,6 +263,7 @@
     pub(super) fn span(&self) -> f64 {
         match self {
             FleetAct::Stall(_, span) | FleetAct::Flap(_, _, span) | FleetAct::Crowd(_, _, span) => *span,
+            FleetAct::Shut(_, _, span) => *span,
             // And what was heard of it is forgotten.
             FleetAct::Twin(_, span) => *span + FORGOTTEN * PERIOD as f64,
             _ => 0.0,
@@ -324,7 +331,10 @@
         "twin" => FleetAct::Twin(process(0)?, span(1)?),
         "joint" => FleetAct::Joint((0..numbers.len()).map(process).collect::<Result<_, _>>()?),
         "settle" => FleetAct::Settle,
+        "move" => FleetAct::Move(process(0)?),
         "limit" => FleetAct::Limit(span(0)?),
+        "busy" => FleetAct::Busy(process(0)?),
+        "shut" => FleetAct::Shut(process(0)?, span(1)? as usize, span(2)?),
         _ => return Err(wrong("unknown")),
     })
 }
@@ -390,6 +400,21 @@
             vec![(2.0 * p, Link(0, 1, silent)), (2.0 * p, Link(2, 1, silent)), (40.0 * p, Heal)]
         }),
         scene("one alone is wrong", 5, vec![(2.0 * p, Islands(vec![1, 0, 0, 0, 0])), (60.0 * p, Heal)]),
+        scene(
+            "a name that moves to another address",
+            5,
+            vec![(2.0 * p, Kill(1)), (20.0 * p, Move(1)), (21.0 * p, Start(1, Folder::Kept))],
+        ),
+        scene(
+            "a shut door that all hear of, and one that has just started",
+            5,
+            vec![
+                (10.0 * p, Kill(4)),
+                (38.0 * p, Shut(0, 0, 40.0 * p)),
+                (40.0 * p, Start(4, Folder::Kept)),
+                (90.0 * p, Shut(1, 1, 20.0 * p)),
+            ],
+        ),
         scene("two under one name", 5, vec![(2.0 * p, Twin(1, 60.0 * p))]),
         scene("no disk for a boot that must go above what others heard", 5, no_disk(p)),
         scene("a roster that shrinks and grows by joint steps", 5, joint(p)),
@@ -427,6 +452,9 @@
             acts.extend((1..5).map(|n| (70.0 * p, Start(n, Folder::Kept))));
             acts
         }),
+        scene("a limit, and traffic that moves", {
+            (0..20).map(|n| (10.0 * p * f64::from(n + 1), Busy(n as usize % 5))).collect()
+        }),
         scene("a limit, the busy one is stopped", vec![(30.0 * p, Stall(0, 40.0 * p)), (80.0 * p, Heal)]),
         scene(
             "a limit that falls to a tenth in a cut",
--- a/crates/rig/src/fleet/stage.rs
+++ b/crates/rig/src/fleet/stage.rs
@@ -1,6 +1,6 @@
 //! The processes of a scene: folders, configurations, what each has for itself, and the network between them.
 
-use super::relay::Relay;
+use super::relay::{Back, Relay};
 use super::scene::{FleetAct, FleetScene, Folder, Sharing};
 use crate::play::{Stage, stage};
 use crate::script::Dest;
@@ -10,6 +10,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex, PoisonError};
 use tokio::task::JoinSet;
 use yarrowhill_checker::{Effect, Event, Life, Terms};
 use yarrowhill_standins::{
@@ -26,7 +27,7 @@
 /// The number of the first of two destinations.
 pub(super) const FIRST_DEST: u64 = 10;
 /// The rule on returning destinations: multiple, for how long (ms), capacity at first, warm after (ms).
-const FAIL_BACK: [f64; 4] = [2.0, 600.0, 0.17, 2000.0];
+pub(super) const FAIL_BACK: [f64; 4] = [2.0, 600.0, 0.17, 2000.0];
 
 /// A process with what it has for itself: partners, discovery, and a ledger of its own messages.
 pub(super) struct Seat {
@@ -48,7 +49,9 @@
     roster: Names,
     /// By sender and receiver; none from one to itself.
     pub(super) relays: Vec<Vec<Option<Relay>>>,
-    _network: JoinSet<()>,
+    /// The same, as the ways back of others.
+    backs: Vec<Vec<Option<Back>>>,
+    network: JoinSet<()>,
 }
 
 /// Who stands in the documents.
@@ -110,8 +113,10 @@
             relays.push(row);
         }
         let mut network = JoinSet::new();
+        let back = |relay: &Option<Relay>| relay.clone().map(|relay| Arc::new(Mutex::new(relay)));
+        let backs: Vec<Vec<Option<Back>>> = relays.iter().map(|row| row.iter().map(back).collect()).collect();
         for (from, to, tcp) in listeners {
-            if let (Some(there), Some(back)) = (relays[from][to].clone(), relays[to][from].clone()) {
+            if let (Some(there), Some(back)) = (relays[from][to].clone(), backs[to][from].clone()) {
                 let to = [listens[to]].into_iter().chain(twins[to]).collect();
                 network.spawn(there.run(tcp, to, back));
             }
@@ -133,7 +138,7 @@
             seats[n] = Some(seat?);
         }
         let seats = seats.into_iter().flatten().collect();
-        Ok(Fleet { seats, listens, twins, roster, relays, _network: network })
+        Ok(Fleet { seats, listens, twins, roster, relays, backs, network })
     }
 
     /// Starts another process under the name of one, beside it: the others find both at one place.
@@ -156,6 +161,23 @@
         self.write_documents(scene)
     }
 
+    /// One that is down gets another address, and so another place in the documents of all.
+    pub(super) async fn move_away(&mut self, scene: &FleetScene, n: usize) -> io::Result<()> {
+        self.listens[n] = free_address()?;
+        for other in (0..self.relays.len()).filter(|other| *other != n) {
+            let SocketAddr::V4(at) = free_address()? else { return Err(io::ErrorKind::Other.into()) };
+            let seed = scene.seed << 24 | (other << 8 | n) as u64;
+            let (relay, tcp) = Relay::bind(at.ip().octets(), seed).await?;
+            if let (Some(back), Some(own)) = (&self.backs[n][other], &self.backs[other][n]) {
+                self.network.spawn(relay.clone().run(tcp, vec![self.listens[n]], back.clone()));
+                // What it says comes from there too.
+                *own.lock().unwrap_or_else(PoisonError::into_inner) = relay.clone();
+            }
+            self.relays[other][n] = Some(relay);
+        }
+        self.write_documents(scene)
+    }
+
     /// The version of the documents.
     pub(super) fn version(&self) -> u64 {
         self.roster.version
--- a/crates/rig/src/scratch.rs
+++ b/crates/rig/src/scratch.rs
@@ -183,7 +183,11 @@
     pub fn attack(&self, bug: Bug) -> Result<Option<String>, ScratchError> {
         let program = self.folder.join("bin").join(format!("attack-{}", bug.name()));
         self.cargo(bug.name(), "yarrowhill-attack", "attack", &program)?;
-        for args in [&["schedules", "--seeds", "200"][..], &["search"]] {
+        let schedules: &[&str] = match bug.is_of_rights() {
+            true => &["rights", "--seeds", "200", "--sizes", "3"],
+            false => &["schedules", "--seeds", "200"],
+        };
+        for args in [schedules, &["search"]] {
             let done = Command::new(&program).args(args).output().map_err(at(&program))?;
             if !done.status.success() {
                 let text = String::from_utf8_lossy(&done.stdout);
--- a/crates/yarrowhill/src/main.rs
+++ b/crates/yarrowhill/src/main.rs
@@ -38,20 +38,7 @@
     },
     /// Shows who of the fleet is there, as a running forwarder knows it, and what follows for it.
     #[cfg(feature = "members")]
-    Members {
-        /// The forwarder's state folder; without it BALANCER_STATE.
-        #[arg(long)]
-        state: Option<PathBuf>,
-        /// Its control socket.
-        #[arg(long)]
-        socket: Option<PathBuf>,
-        /// Again each second.
-        #[arg(long)]
-        watch: bool,
-        /// For programs: one JSON object a look.
-        #[arg(long)]
-        json: bool,
-    },
+    Members(Look),
     /// What the forwarders of a fleet share, as a running one knows it.
     #[cfg(feature = "members")]
     Fleet {
@@ -79,20 +66,27 @@
 #[derive(Subcommand)]
 enum Shared {
     /// Limits: what this forwarder may send to each destination, what it lends and borrows, and who keeps.
-    Limits {
-        /// The forwarder's state folder; without it BALANCER_STATE.
-        #[arg(long)]
-        state: Option<PathBuf>,
-        /// Its control socket.
-        #[arg(long)]
-        socket: Option<PathBuf>,
-        /// Again each second.
-        #[arg(long)]
-        watch: bool,
-        /// For programs: one JSON object a look.
-        #[arg(long)]
-        json: bool,
-    },
+    Limits(Look),
+    /// Waits that destinations told to one of them and that all keep.
+    Knowledge(Look),
+}
+
+/// Whom to ask, and how to show what it says.
+#[cfg(feature = "members")]
+#[derive(clap::Args)]
+struct Look {
+    /// The forwarder's state folder; without it BALANCER_STATE.
+    #[arg(long)]
+    state: Option<PathBuf>,
+    /// Its control socket.
+    #[arg(long)]
+    socket: Option<PathBuf>,
+    /// Again each second.
+    #[arg(long)]
+    watch: bool,
+    /// For programs: one JSON object a look.
+    #[arg(long)]
+    json: bool,
 }
 
 /// What may be done with a routing document.
@@ -109,6 +103,15 @@
     },
 }
 
+#[cfg(feature = "members")]
+fn ask(look: Look, show: fn(&std::path::Path, bool, bool) -> Told) -> Told {
+    let Look { state, socket, watch, json } = look;
+    operate::socket(socket, state).and_then(|socket| show(&socket, watch, json))
+}
+
+#[cfg(feature = "members")]
+type Told = Result<(), Box<dyn std::error::Error>>;
+
 fn main() -> ExitCode {
     let cli = Cli::parse();
     // A log that can't be written must not end the forwarder: to tell of it would panic.
@@ -123,13 +126,11 @@
         Command::Run => start(),
         Command::CheckConfig { file } => check(&file),
         #[cfg(feature = "members")]
-        Command::Members { state, socket, watch, json } => {
-            operate::socket(socket, state).and_then(|socket| operate::members(&socket, watch, json))
-        }
+        Command::Members(look) => ask(look, operate::members),
         #[cfg(feature = "members")]
-        Command::Fleet { what: Shared::Limits { state, socket, watch, json } } => {
-            operate::socket(socket, state).and_then(|socket| operate::limits(&socket, watch, json))
-        }
+        Command::Fleet { what: Shared::Limits(look) } => ask(look, operate::limits),
+        #[cfg(feature = "members")]
+        Command::Fleet { what: Shared::Knowledge(look) } => ask(look, operate::knowledge),
         #[cfg(feature = "routes")]
         Command::Config { what: Documents::Check { path, json } } => return routes::check(&path, json),
         #[cfg(feature = "demo")]
--- a/crates/yarrowhill/src/members.rs
+++ b/crates/yarrowhill/src/members.rs
@@ -20,6 +20,8 @@
     handle: Handle,
     name: String,
     document: PathBuf,
+    /// A wait that is as long as this is not one of a limit.
+    shut: Duration,
 }
 
 impl std::fmt::Debug for Member {
@@ -37,6 +39,16 @@
         self.handle.begin(dest, again)
     }
 
+    fn answered(&self, dest: DestId, took: Duration, wait: Option<Duration>, served: bool) {
+        // A short wait comes from a limit that others use up, and would make all give way in step; a long one from a shut
+        // door, which is one for all.
+        if let Some(wait) = wait.filter(|wait| *wait >= self.shut) {
+            self.handle.told_wait(dest, wait);
+        } else if served {
+            self.handle.served(dest, took);
+        }
+    }
+
     fn may_take_on(&self) -> bool {
         self.handle.permits().take_on
     }
@@ -65,7 +77,8 @@
                 match what.as_str() {
                     "members" => serde_json::to_value(told.status()).map_err(|e| e.to_string()),
                     "limits" => serde_json::to_value(told.limits()).map_err(|e| e.to_string()),
-                    other => Err(format!("{other:?} is unknown; members and limits are known")),
+                    "knowledge" => serde_json::to_value(told.destinations()).map_err(|e| e.to_string()),
+                    other => Err(format!("{other:?} is unknown; members, limits and knowledge are known")),
                 }
             }
         };
@@ -75,7 +88,9 @@
             Err(e) => tracing::error!("control: {e}"),
         }
         tokio::spawn(node.run());
-        Ok(Some(Member { handle, name: name.clone(), document: path.clone() }))
+        // As the module tells them apart.
+        let shut = Duration::from_micros(config.settings.warm_after.unsigned_abs() / 4);
+        Ok(Some(Member { handle, name: name.clone(), document: path.clone(), shut }))
     }
 
     /// As what is looked at before a byte leaves.
--- a/crates/yarrowhill/src/operate.rs
+++ b/crates/yarrowhill/src/operate.rs
@@ -5,7 +5,9 @@
 use std::fmt::Write;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
-use yarrowhill_fleet::{LimitStatus, LimitsStatus, MemberStatus, NamedLimit, Refusals, Status, ask};
+use yarrowhill_fleet::{
+    KnowledgeStatus, LimitStatus, LimitsStatus, MemberStatus, NamedKnown, NamedLimit, Refusals, Status, ask,
+};
 
 /// Between two looks of `--watch`.
 const LOOK: Duration = Duration::from_secs(1);
@@ -30,6 +32,36 @@
     show(socket, "limits", watch, json, |told| Ok(limits_text(&serde_json::from_value(told)?)))
 }
 
+/// Shows what is known of destinations, once or again and again.
+pub fn knowledge(socket: &Path, watch: bool, json: bool) -> Result<(), Box<dyn Error>> {
+    show(socket, "knowledge", watch, json, |told| Ok(knowledge_text(&serde_json::from_value(told)?)))
+}
+
+fn knowledge_text(status: &KnowledgeStatus) -> String {
+    let mut text = format!("{:>11} {:>9} {:>9} told to\n", "destination", "waits", "heard");
+    for NamedKnown { known, origin_name } in &status.waits {
+        let seconds = |micros: u64| micros as f64 / 1e6;
+        let _ = writeln!(
+            text,
+            "{:>11} {:>7.1} s {:>7.1} s {}",
+            known.dest,
+            seconds(known.left),
+            seconds(known.age),
+            origin_name.as_deref().unwrap_or("?")
+        );
+    }
+    if status.waits.is_empty() {
+        text.push_str("no destination told anybody to wait\n");
+    }
+    if status.newcomer {
+        text.push_str("has just started: nobody has told it yet what holds\n");
+    }
+    if status.refused > 0 {
+        let _ = writeln!(text, "not believed: {} words", status.refused);
+    }
+    text
+}
+
 fn show(
     socket: &Path,
     what: &str,
