Play two under one name without waiting for the one that is never ready

Of two processes under one name one is to be silent and never ready; where that was the second one, its start waited for it until it timed out.

'yarrowhill fleet explain DEST' says why calls are held.

--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -50,14 +50,23 @@
     ///
     /// It can't be started, or does not get ready.
     pub async fn start(setup: Setup, config: &Value, ledger: &Ledger) -> io::Result<Self> {
+        let mut process = Process::begin(setup, config, ledger)?;
+        process.ready().await?;
+        Ok(process)
+    }
+
+    /// Starts it with a configuration, and does not wait: it may have reasons never to be ready.
+    ///
+    /// # Errors
+    ///
+    /// It can't be started.
+    pub fn begin(setup: Setup, config: &Value, ledger: &Ledger) -> io::Result<Self> {
         std::fs::create_dir_all(setup.folder.join("state"))?;
         std::fs::write(setup.folder.join("config.json"), config.to_string())?;
         let addr = config["listen"].as_str().and_then(|a| a.parse().ok());
         let addr = addr.ok_or(io::ErrorKind::InvalidInput)?;
         let child = spawn(&setup)?;
-        let mut process = Process { addr, setup, child, ledger: ledger.clone() };
-        process.ready().await?;
-        Ok(process)
+        Ok(Process { addr, setup, child, ledger: ledger.clone() })
     }
 
     async fn ready(&mut self) -> io::Result<()> {
--- a/crates/yarrowhill/src/main.rs
+++ b/crates/yarrowhill/src/main.rs
@@ -69,6 +69,14 @@
     Limits(Look),
     /// Waits that destinations told to one of them and that all keep.
     Knowledge(Look),
+    /// Why calls to a destination begin or are held here now.
+    Explain {
+        /// The destination's number.
+        dest: u64,
+        /// Whom to ask.
+        #[command(flatten)]
+        look: Look,
+    },
 }
 
 /// Whom to ask, and how to show what it says.
@@ -104,7 +112,7 @@
 }
 
 #[cfg(feature = "members")]
-fn ask(look: Look, show: fn(&std::path::Path, bool, bool) -> Told) -> Told {
+fn ask(look: Look, show: impl Fn(&std::path::Path, bool, bool) -> Told) -> Told {
     let Look { state, socket, watch, json } = look;
     operate::socket(socket, state).and_then(|socket| show(&socket, watch, json))
 }
@@ -131,6 +139,10 @@
         Command::Fleet { what: Shared::Limits(look) } => ask(look, operate::limits),
         #[cfg(feature = "members")]
         Command::Fleet { what: Shared::Knowledge(look) } => ask(look, operate::knowledge),
+        #[cfg(feature = "members")]
+        Command::Fleet { what: Shared::Explain { dest, look } } => {
+            ask(look, |socket, watch, json| operate::explain(socket, dest, watch, json))
+        }
         #[cfg(feature = "routes")]
         Command::Config { what: Documents::Check { path, json } } => return routes::check(&path, json),
         #[cfg(feature = "demo")]
--- a/crates/yarrowhill/src/operate.rs
+++ b/crates/yarrowhill/src/operate.rs
@@ -62,6 +62,69 @@
     text
 }
 
+/// Tells why calls to a destination begin or are held now, once or again and again.
+pub fn explain(socket: &Path, dest: u64, watch: bool, json: bool) -> Result<(), Box<dyn Error>> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(async {
+        loop {
+            let limits: LimitsStatus = serde_json::from_value(ask(socket, "limits", Value::Null).await?)?;
+            let known: KnowledgeStatus =
+                serde_json::from_value(ask(socket, "knowledge", Value::Null).await?)?;
+            let limit = limits.limits.iter().find(|named| named.limit.limit == dest);
+            let waits: Vec<&NamedKnown> = known.waits.iter().filter(|w| w.known.dest == dest).collect();
+            if json {
+                println!("{}", serde_json::json!({"dest": dest, "limit": limit, "waits": waits}));
+            } else {
+                print!("{}", reasons(dest, limit, &waits));
+            }
+            if !watch {
+                return Ok(());
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+    })
+}
+
+fn reasons(dest: u64, limit: Option<&NamedLimit>, waits: &[&NamedKnown]) -> String {
+    let mut text = String::new();
+    for NamedKnown { known, origin_name } in waits {
+        let _ = writeln!(
+            text,
+            "{dest}: told {} to wait, heard {:.1} s ago; held for {:.1} s more, unless it serves a call of ours",
+            origin_name.as_deref().unwrap_or("somebody"),
+            known.age as f64 / 1e6,
+            known.left as f64 / 1e6
+        );
+    }
+    let Some(NamedLimit { limit, keeper_name }) = limit else {
+        let _ = writeln!(text, "{dest}: no limit that is shared; the module decides alone");
+        return text;
+    };
+    let LimitStatus { calls, right, floor, lent, borrowed, demand, starts_ms, begun, held, .. } = limit;
+    let _ = writeln!(
+        text,
+        "{dest}: {calls:.2} calls a second for all, {right:.2} of them here, {demand:.2} asked for"
+    );
+    let _ = writeln!(text, "  {begun} calls have begun, {held} were held back for a time or for good");
+    if *starts_ms > 0 {
+        let span = *starts_ms as f64 / 1000.0;
+        let _ = writeln!(
+            text,
+            "  its floor of {floor:.2} counts from {span:.1} s on: an earlier life may have lent it"
+        );
+    } else if *lent > 0.0 {
+        let _ = writeln!(text, "  {lent:.2} of its floor of {floor:.2} are lent");
+    }
+    if *borrowed > 0.0 {
+        let keeper = keeper_name.as_deref().unwrap_or("its keeper");
+        let _ = writeln!(text, "  {borrowed:.2} are borrowed, by {keeper}");
+    }
+    if demand > right {
+        let _ = writeln!(text, "  held now: more is asked for than it may send");
+    }
+    text
+}
+
 fn show(
     socket: &Path,
     what: &str,
