Look for news of destinations once a round, not at each turn of the loop

Cause: seen on reading the change again. The fleet's loop asked at each packet whether there is news, and that walked over all destinations and origins, up to 160,000 entries. And the rig prepared the second process under a name by a copy of how the first is started.

The change: knowledge keeps until when there may be news; words, once a round, find out. One function starts processes, waiting or not.

--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -380,8 +380,7 @@
     }
 
     fn has_news(&self) -> bool {
-        let members = self.handle.core().roster().len();
-        self.is_newcomer() || self.handle.knowledge().has_news(clock::now(), members)
+        self.is_newcomer() || self.handle.knowledge().has_news(clock::now())
     }
 
     /// Passes on what is fresh, to a few of those that are there; one that has just started asks them for all.
@@ -406,6 +405,9 @@
             (knowledge.peers(&there), knowledge.words(now, NEWS_WORDS, there.len() + 1))
         };
         let news = News { hello: self.is_newcomer(), words };
+        if !news.hello && news.words.is_empty() {
+            return;
+        }
         for to in peers {
             self.send_news(MemberId(to), &news).await;
         }
--- a/crates/knowledge/src/waits.rs
+++ b/crates/knowledge/src/waits.rs
@@ -63,6 +63,8 @@
     count: u64,
     rng: ChaCha8Rng,
     dests: BTreeMap<u64, BTreeMap<u64, Entry>>,
+    /// There may be something to pass on until then: asked at each turn of the host's loop, so not looked for.
+    news_until: Micros,
     /// Words that were not believed: too long, of too many origins, about too many destinations, in one's own name.
     refused: u64,
 }
@@ -71,7 +73,7 @@
     /// A member that starts, with the boot number that it speaks under and a seed.
     pub fn new(me: u64, boot: u64, seed: u64) -> Self {
         let rng = ChaCha8Rng::seed_from_u64(seed);
-        Knowledge { me, boot, count: 0, rng, dests: BTreeMap::new(), refused: 0 }
+        Knowledge { me, boot, count: 0, rng, dests: BTreeMap::new(), news_until: 0, refused: 0 }
     }
 
     /// It speaks under another boot number from now on.
@@ -91,6 +93,7 @@
         let entry = self.dests.entry(dest).or_default().entry(self.me).or_insert(own);
         // Of two waits that were told the later end holds.
         *entry = Entry { until: own.until.max(entry.until), ..own };
+        self.news_until = self.news_until.max(entry.until);
     }
 
     /// A call that began at a moment was served: what was heard before then does not hold here any more.
@@ -124,6 +127,7 @@
         }
         let until = entry.credit.spend(now, entry.until, now.saturating_add(left));
         *entry = Entry { order, until, heard: now, credit: entry.credit, told: 0 };
+        self.news_until = self.news_until.max(until);
     }
 
     /// How long a call to a destination has to wait by what the *others* say; what was told to this member itself binds its
@@ -143,6 +147,9 @@
             fresh
                 .extend(origins.iter().filter(|(_, e)| still(e)).map(|(origin, e)| (e.told, *dest, *origin)));
         }
+        if fresh.is_empty() {
+            self.news_until = 0;
+        }
         fresh.sort_unstable();
         fresh.truncate(most);
         let mut words = Vec::new();
@@ -155,10 +162,9 @@
         words
     }
 
-    /// Whether there is anything to pass on.
-    pub fn has_news(&self, now: Micros, members: usize) -> bool {
-        let rounds = (ROUNDS * (members as f64 + 1.0).log2()).ceil() as u32;
-        self.dests.values().flat_map(BTreeMap::values).any(|e| e.told < rounds && e.until > now)
+    /// Whether there may be anything to pass on; [`Knowledge::words`] tells.
+    pub fn has_news(&self, now: Micros) -> bool {
+        now < self.news_until
     }
 
     /// To whom a round's words go, of those that are there.
@@ -224,7 +230,7 @@
         let (mut two, mut late) = (Knowledge::new(2, 1, 2), Knowledge::new(3, 1, 3));
         one.told_wait(0, 10, 30 * S);
         assert_eq!(one.wait(S, 10), None, "its own is the module's matter");
-        assert!(one.has_news(S, 3));
+        assert!(one.has_news(S));
         one.words(S, 9, 3).iter().for_each(|word| two.hear(S, word));
         assert_eq!(two.wait(S, 10), Some(29 * S));
         // By way of the second, ten seconds later.
@@ -233,7 +239,7 @@
         assert_eq!(late.wait(30 * S, 10), None);
         // It is not news for ever.
         (0..9).for_each(|_| drop(one.words(2 * S, 9, 3)));
-        assert!(!one.has_news(2 * S, 3));
+        assert!(!one.has_news(2 * S));
     }
 
     #[test]
--- a/crates/rig/src/fleet/stage.rs
+++ b/crates/rig/src/fleet/stage.rs
@@ -130,8 +130,9 @@
             let program = programs.get(n % programs.len().max(1)).ok_or(io::ErrorKind::InvalidInput)?;
             let (program, seed) = (program.to_path_buf(), scene.seed << 8 | n as u64);
             let (many, descriptors) = (size, scene.descriptors);
-            starts
-                .spawn(async move { (n, Seat::start(n, many, &program, &folder, seed, descriptors).await) });
+            starts.spawn(async move {
+                (n, Seat::start(n, many, &program, &folder, seed, descriptors, true).await)
+            });
         }
         let mut seats: Vec<Option<Seat>> = (0..size).map(|_| None).collect();
         while let Some(started) = starts.join_next().await {
@@ -160,11 +161,8 @@
         fs::create_dir_all(&folder)?;
         fs::write(folder.join("fleet.kdl"), document(scene.period, &self.roster, listen, &self.relays[n]))?;
         let seed = scene.seed << 8 | 0x80 | n as u64;
-        let (setup, config, ledger, stage) =
-            Seat::prepare(n, scene.size, program, &folder, seed, None).await?;
         // One of the two is to be silent, and so never ready: it may be this one.
-        let process = Process::begin(setup, &config, &ledger)?;
-        Ok(Seat { process, ledger, stage, config, identities: Vec::new() })
+        Seat::start(n, scene.size, program, &folder, seed, None, false).await
     }
 
     /// Another roster in the documents of all, the dead too: these beside those before, or the last ones alone.
@@ -251,24 +249,8 @@
         folder: &Path,
         seed: u64,
         descriptors: Option<u64>,
+        waits: bool,
     ) -> io::Result<Self> {
-        let (setup, config, ledger, stage) =
-            Seat::prepare(n, size, program, folder, seed, descriptors).await?;
-        let process = Process::start(setup, &config, &ledger).await?;
-        let mut seat = Seat { process, ledger, stage, config, identities: Vec::new() };
-        seat.remember();
-        Ok(seat)
-    }
-
-    /// What it has for itself, and how it is started.
-    async fn prepare(
-        n: usize,
-        size: usize,
-        program: &Path,
-        folder: &Path,
-        seed: u64,
-        descriptors: Option<u64>,
-    ) -> io::Result<(Setup, Value, Ledger, Stage)> {
         let ledger = Ledger::default();
         let mut rng = Rng::seed_from_u64(seed);
         let faults = Faults::default();
@@ -296,7 +278,13 @@
         config["settings"]["peersTotal"] = json!(size);
         let (program, folder) = (program.into(), folder.into());
         let setup = Setup { program, folder, env: Vec::new(), file_most: None, descriptors };
-        Ok((setup, config, ledger, stage))
+        let process = match waits {
+            true => Process::start(setup, &config, &ledger).await?,
+            false => Process::begin(setup, &config, &ledger)?,
+        };
+        let mut seat = Seat { process, ledger, stage, config, identities: Vec::new() };
+        seat.remember();
+        Ok(seat)
     }
 
     /// The file with its boot number.
