--- a/crates/attack/src/bin/attack.rs
+++ b/crates/attack/src/bin/attack.rs
@@ -4,8 +4,8 @@
 use hdrhistogram::Histogram;
 use std::process::ExitCode;
 use yarrowhill_attack::{
-    Even, IdentityWorld, RightsWorld, Schedule, SupportWorld, measure, measure_replaced, measure_rights,
-    measure_shares, plain, play, play_rights,
+    Even, IdentityWorld, RightsWorld, Schedule, SupportWorld, Way, measure, measure_replaced, measure_return,
+    measure_rights, measure_shares, plain, play, play_return, play_rights,
 };
 use yarrowhill_kernel::{Found, search};
 
@@ -47,6 +47,15 @@
         #[arg(long, value_delimiter = ',', default_value = "3,30,300")]
         sizes: Vec<usize>,
     },
+    /// Plays a partner of all that is down and comes back, by seeds and as figures.
+    Returns {
+        /// How many seeds.
+        #[arg(long, default_value_t = 1000)]
+        seeds: u64,
+        /// Members, to be measured.
+        #[arg(long, value_delimiter = ',', default_value = "3,30,300")]
+        sizes: Vec<usize>,
+    },
     /// Measures fleets of these sizes.
     Measure {
         /// Members.
@@ -119,6 +128,17 @@
             println!("{seeds} schedules of rights, {} broken", broken.len());
             broken.is_empty()
         }
+        Command::Returns { seeds, sizes } => {
+            for size in sizes {
+                for way in [Way::Together, Way::Apart] {
+                    println!("{size} members, {way:?}: {}", measure_return(size, way, 1));
+                }
+            }
+            let broken: Vec<_> = (0..seeds).filter_map(|s| play_return(s).err().map(|b| (s, b))).collect();
+            broken.iter().take(10).for_each(|(seed, b)| println!("seed {seed}: {b}"));
+            println!("{seeds} schedules of returns, {} broken", broken.len());
+            broken.is_empty()
+        }
         Command::Measure { sizes, loss, slow, deaths, seed } => {
             for size in sizes {
                 for loss in &loss {
--- a/crates/attack/src/lib.rs
+++ b/crates/attack/src/lib.rs
@@ -5,11 +5,13 @@
 //! - `schedule`: a seed's faults, and what must hold under them
 //! - `worlds`: small worlds of the parts that safety rests on
 //! - `rights`: rights over a fleet: a small world, schedules, figures
+//! - `returns`: a partner of all that is down and comes back cold
 //! - `measure`: figures over many members
 //! - `shares`: what members make of a limit that they divide by who is there
 
 mod measure;
 mod member;
+mod returns;
 mod rights;
 mod schedule;
 mod shares;
@@ -17,6 +19,7 @@
 
 pub use measure::{Figures, Plain, measure, measure_replaced, plain};
 pub use member::{Folder, Msg, Seated, World, size};
+pub use returns::{ReturnFigures, Way, measure_return, play_return};
 pub use rights::{Even, RightsFigures, RightsWorld, measure_rights, play_rights};
 pub use schedule::{Breach, Fault, Schedule, play};
 pub use shares::{ShareFigures, measure_shares};
--- a/crates/attack/src/rights.rs
+++ b/crates/attack/src/rights.rs
@@ -217,7 +217,7 @@
     fn call(&mut self, now: Micros) {
         self.waiting.retain(|until| now < *until);
         while !self.waiting.is_empty() {
-            if let Err(wait) = self.sharing.begin(now, DEST, true) {
+            if let Err(wait) = self.sharing.begin(now, &[DEST], 1.0, true) {
                 self.retry = now + wait.max(1000);
                 break;
             }
@@ -229,7 +229,7 @@
         while self.rate > 0.0 && now >= self.next_call {
             self.next_call += (1e6 / self.rate) as Micros + 1;
             self.came += 1;
-            match self.sharing.begin(now, DEST, false) {
+            match self.sharing.begin(now, &[DEST], 1.0, false) {
                 Ok(()) => self.begun += 1,
                 Err(wait) => {
                     self.retry = now + wait.max(1000);
--- a/crates/checker/src/fleet.rs
+++ b/crates/checker/src/fleet.rs
@@ -2,6 +2,7 @@
 //! between them, and what each said of itself and of the others. Shares no code with membership; the table of what a
 //! standing allows is written a second time here.
 
+use crate::returns::Cold;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::fmt;
@@ -90,6 +91,13 @@
         /// How long (ms).
         wait: f64,
     },
+    /// A destination of everybody is down, or back and cold.
+    Outage {
+        /// Which.
+        dest: u64,
+        /// Whether it is back.
+        back: bool,
+    },
     /// All are told another roster.
     Roster {
         /// Which.
@@ -151,6 +159,8 @@
     pub shut: f64,
     /// once they have heard of it: after so long.
     pub heard: f64,
+    /// What holds of destinations that were down.
+    pub cold: Cold,
     /// How late the rig's own clocks were.
     pub slack: f64,
 }
@@ -180,6 +190,7 @@
     written(ledger, &mut breaches);
     twins(terms, ledger, &mut breaches);
     waits(terms, ledger, &mut breaches);
+    crate::returns::returns(terms, size, ledger, &mut breaches);
     let reach = judge_reach(terms, ledger);
     // One whole call that each has saved up, and a tenth of a second of the limit; then how late the rig's clocks were.
     let allowed = size as f64 + reach.most * (0.1 + terms.slack / 1000.0) + 1.0;
@@ -539,6 +550,7 @@
             | FleetEvent::Carried { .. }
             | FleetEvent::Began { .. }
             | FleetEvent::Limit { .. }
+            | FleetEvent::Outage { .. }
             | FleetEvent::Waits { .. }
             | FleetEvent::Written { .. } => {}
             event => {
@@ -597,6 +609,7 @@
         forgotten: 300.0,
         shut: 500.0,
         heard: 50.0,
+        cold: Cold { found: 1000.0, start: 0.2, warm: 2000.0, tries: 400.0, late: 0.0 },
         slack: 0.0,
     };
 
--- a/crates/checker/src/lib.rs
+++ b/crates/checker/src/lib.rs
@@ -17,9 +17,11 @@
 mod fleet;
 mod judge;
 mod ledger;
+mod returns;
 mod rules;
 
 pub use accounts::{Account, accounts};
 pub use fleet::{Claim, FleetBreach, FleetEntry, FleetEvent, FleetTerms, Reach, judge_fleet, judge_reach};
 pub use judge::{Breach, Effect, Rule, Terms, judge};
 pub use ledger::{CallEnd, Entry, Event, Heard, Life, Standing};
+pub use returns::{Cold, Returned, judge_returns};
--- a/crates/engine/src/call.rs
+++ b/crates/engine/src/call.rs
@@ -24,6 +24,8 @@
     pub until: Instant,
     /// Nothing of it may be written later: not begun by then, it ends as [`Outcome::NotSent`].
     pub begin_by: Instant,
+    /// The message has been tried before: what went back unsent was none.
+    pub further: bool,
 }
 
 /// A call to make.
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -92,6 +92,8 @@
     accepted: Accepted,
     give_up_at: Micros,
     attempts: usize,
+    /// One of them was more than decided on: a connection was tried, or a byte written.
+    tried: bool,
     /// Clients that wait for the answer; none once the message is taken on. A client that sends a request
     /// once more on a new connection may meet itself: both must hear the same.
     clients: Vec<oneshot::Sender<Answer>>,
@@ -363,7 +365,14 @@
             deadline: unix_now() + left,
             body,
         };
-        let message = Message { accepted, give_up_at, attempts: 0, clients: vec![answer], taken_on: false };
+        let message = Message {
+            accepted,
+            give_up_at,
+            attempts: 0,
+            tried: false,
+            clients: vec![answer],
+            taken_on: false,
+        };
         Some(self.submit(now, message, class, tenant, Past::default()))
     }
 
@@ -410,8 +419,14 @@
         let class = index(&self.names.classes, &accepted.class);
         let tenant = accepted.tenant.as_ref().and_then(|t| index(&self.names.tenants, t));
         let give_up_at = now.saturating_add(ago(accepted.deadline));
-        let message =
-            Message { accepted, give_up_at, attempts: past.attempts, clients: Vec::new(), taken_on: true };
+        let message = Message {
+            accepted,
+            give_up_at,
+            attempts: past.attempts,
+            tried: past.attempts > 0,
+            clients: Vec::new(),
+            taken_on: true,
+        };
         match class {
             Some(class) => drop(self.submit(now, message, class, tenant, past)),
             // The settings know its class no longer: nothing may be promised about its effect.
@@ -589,6 +604,7 @@
                 body: message.accepted.body.clone(),
                 until: self.clock.instant(send.until.min(ends)),
                 begin_by: self.clock.instant(send.begin_by),
+                further: message.tried,
             });
         }
         let Some(t) = self.endpoints.get_mut(endpoint).filter(|_| !items.is_empty()) else { return };
@@ -660,7 +676,8 @@
                 let end = if outcome == Outcome::Delivered { End::Delivered } else { End::Failed };
                 self.journal.note(&Record::Closed(id, end, deadline), unix);
             }
-        } else if let Some(message) = self.messages.get(&id) {
+        } else if let Some(message) = self.messages.get_mut(&id) {
+            message.tried |= outcome != Outcome::NotSent;
             let record = Record::Ended(message.accepted.id.clone(), attempt, !outcome.never_ran());
             self.journal.note(&record, unix);
         }
--- a/crates/engine/src/gate.rs
+++ b/crates/engine/src/gate.rs
@@ -9,22 +9,35 @@
 pub trait Gate: Debug + Send + Sync {
     /// Calls to endpoints may begin.
     fn may_send(&self) -> bool;
-    /// Whether a call to a destination may begin by the limit that several processes share; else after how long to ask
-    /// again. `again`: the same call was held back before.
+    /// Whether a call to a destination may begin by what several processes share; else after how long to ask again.
+    /// `further`: every message in it has been tried before. `again`: the same call was held back before.
     ///
     /// # Errors
     ///
     /// It is to be held back.
-    fn begin(&self, dest: DestId, again: bool) -> Result<(), Duration> {
-        let _ = (dest, again);
+    fn begin(&self, dest: DestId, further: bool, again: bool) -> Result<(), Duration> {
+        let _ = (dest, further, again);
         Ok(())
     }
     /// New messages may be taken on.
     fn may_take_on(&self) -> bool;
     /// Clients may be told that it is ready.
     fn is_ready(&self) -> bool;
-    /// A destination answered a call that took so long: with a wait that it told, or by serving it.
-    fn answered(&self, dest: DestId, took: Duration, wait: Option<Duration>, served: bool) {
-        let _ = (dest, took, wait, served);
+    /// A call to a destination has ended, so long after its first byte or after a connection was tried.
+    fn ended(&self, dest: DestId, took: Duration, how: CallWent) {
+        let _ = (dest, took, how);
     }
 }
+
+/// How a call went, as far as it says anything of its destination.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallWent {
+    /// It was served.
+    Served,
+    /// It was refused, and told to wait for so long.
+    Wait(Duration),
+    /// It was refused, or answered in some other way by somebody who is there.
+    Refused,
+    /// There was no connection, no answer in time, none that can be read, or one that tells of a failure.
+    Failed,
+}
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -31,7 +31,7 @@
 pub use call::{AttemptEnd, Call, CallEnd, Item, Order};
 pub use clock::unix_now;
 pub use engine::{Engine, Options, Shard};
-pub use gate::Gate;
+pub use gate::{CallWent, Gate};
 pub use input::Input;
 pub use list::{EndpointLine, EndpointList, State};
 pub use message::{Answer, Notice, Submission};
--- a/crates/fleet/src/codec.rs
+++ b/crates/fleet/src/codec.rs
@@ -3,7 +3,7 @@
 
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use yarrowhill_knowledge::WaitWord;
+use yarrowhill_knowledge::{Judgement, WaitWord};
 use yarrowhill_rights::Letter;
 
 /// No UDP packet is longer (bytes): it fits a frame of Ethernet with room for tunnels.
@@ -16,7 +16,13 @@
 const RIGHTS_MARK: [u8; 3] = *b"yr\x01";
 /// And one of news about destinations.
 const NEWS_MARK: [u8; 3] = *b"yk\x01";
-/// Words in a packet of news: at their longest they fit.
+/// And one of findings about them.
+const FINDINGS_MARK: [u8; 3] = *b"yj\x01";
+/// And one part of what one that has just started is told.
+const TOLD_MARK: [u8; 3] = *b"ya\x01";
+/// Words of each kind in such a part.
+pub const TOLD_WORDS: usize = 12;
+/// Words in a packet of news or of findings: at their longest they fit.
 pub const NEWS_WORDS: usize = 24;
 
 /// What members tell each other of destinations.
@@ -28,6 +34,34 @@
     pub words: Vec<WaitWord>,
 }
 
+/// A part of what one that has just started is told.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Told {
+    /// Which part,
+    pub part: u8,
+    /// of how many.
+    pub parts: u8,
+    /// Waits, at most [`TOLD_WORDS`].
+    pub waits: Vec<WaitWord>,
+    /// Findings, at most [`TOLD_WORDS`].
+    pub findings: Vec<Judgement>,
+}
+
+impl Told {
+    /// All parts: one at least, since that nothing holds is to be told too.
+    pub fn parts(waits: &[WaitWord], findings: &[Judgement]) -> Vec<Told> {
+        let parts = waits.len().max(findings.len()).div_ceil(TOLD_WORDS).clamp(1, usize::from(u8::MAX));
+        let some = |n: usize, len: usize| (n * TOLD_WORDS).min(len)..((n + 1) * TOLD_WORDS).min(len);
+        let part = |n: usize| Told {
+            part: n as u8,
+            parts: parts as u8,
+            waits: waits[some(n, waits.len())].to_vec(),
+            findings: findings[some(n, findings.len())].to_vec(),
+        };
+        (0..parts).map(part).collect()
+    }
+}
+
 /// Why bytes are no packet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum CodecError {
@@ -74,6 +108,52 @@
     encode_behind(&NEWS_MARK, news, PACKET_MOST)
 }
 
+/// The bytes of findings, at most [`NEWS_WORDS`] of them.
+///
+/// # Errors
+///
+/// They are too long.
+pub fn encode_findings(findings: &[Judgement]) -> Result<Vec<u8>, CodecError> {
+    encode_behind(&FINDINGS_MARK, &findings, PACKET_MOST)
+}
+
+/// The bytes of a part of what a newcomer is told.
+///
+/// # Errors
+///
+/// They are too long.
+pub fn encode_told(told: &Told) -> Result<Vec<u8>, CodecError> {
+    encode_behind(&TOLD_MARK, told, PACKET_MOST)
+}
+
+/// Whether some bytes are such a part.
+pub fn is_told(bytes: &[u8]) -> bool {
+    bytes.starts_with(&TOLD_MARK)
+}
+
+/// The part of some bytes, whatever they are.
+///
+/// # Errors
+///
+/// They are none.
+pub fn decode_told(bytes: &[u8]) -> Result<Told, CodecError> {
+    decode_behind(&TOLD_MARK, bytes, PACKET_MOST)
+}
+
+/// Whether some bytes are findings.
+pub fn is_findings(bytes: &[u8]) -> bool {
+    bytes.starts_with(&FINDINGS_MARK)
+}
+
+/// The findings of some bytes, whatever they are.
+///
+/// # Errors
+///
+/// They are none.
+pub fn decode_findings(bytes: &[u8]) -> Result<Vec<Judgement>, CodecError> {
+    decode_behind(&FINDINGS_MARK, bytes, PACKET_MOST)
+}
+
 /// Whether some bytes are news.
 pub fn is_news(bytes: &[u8]) -> bool {
     bytes.starts_with(&NEWS_MARK)
@@ -167,6 +247,17 @@
         let bytes = encode_news(&news).expect("fits");
         assert!(is_news(&bytes) && !is_letter(&bytes));
         assert_eq!(decode_news(&bytes), Ok(news));
+        let finding = yarrowhill_knowledge::Finding::Back(most);
+        let findings = vec![Judgement { dest: most, origin: most, order: (most, most), finding }; NEWS_WORDS];
+        let bytes = encode_findings(&findings).expect("fits");
+        assert!(is_findings(&bytes) && !is_news(&bytes));
+        assert_eq!(decode_findings(&bytes), Ok(findings.clone()));
+        assert_eq!(decode_findings(&bytes[..50]), Err(CodecError::Spoilt));
+        let told = Told::parts(&vec![word; 30], &findings);
+        assert_eq!(told.iter().map(|t| (t.part, t.parts)).collect::<Vec<_>>(), [(0, 3), (1, 3), (2, 3)]);
+        assert_eq!(told.iter().map(|t| t.waits.len()).sum::<usize>(), 30);
+        assert_eq!(decode_told(&encode_told(&told[0]).expect("fits")), Ok(told[0].clone()));
+        assert_eq!(Told::parts(&[], &[]).len(), 1);
     }
 
     proptest! {
--- a/crates/fleet/src/document.rs
+++ b/crates/fleet/src/document.rs
@@ -16,7 +16,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use yarrowhill_membership::{MEMBERS_MOST, MemberId, Roster, Seat, Timing};
-use yarrowhill_rights::{CALL, Limit};
+use yarrowhill_rights::{CALL, Limit, further_attempts};
 
 /// The longest document (bytes).
 const LONGEST: usize = 1 << 20;
@@ -62,8 +62,10 @@
     pub addresses: BTreeMap<MemberId, SocketAddr>,
     /// The protocol's spans.
     pub timing: Timing,
-    /// Limits that all share, by destination.
+    /// Limits that all share, by destination; those on attempts beyond the first by [`further_attempts`] of it.
     pub limits: BTreeMap<u64, Limit>,
+    /// Whether they tell each other of outages, and come back together.
+    pub returns: bool,
 }
 
 struct Reader<'a> {
@@ -125,13 +127,14 @@
     }
 
     fn fleet(&mut self, node: &KdlNode, me: &str) -> Option<Document> {
-        self.known(node, &["version", "listen", "period-ms", "loopback", "confirm"]);
+        self.known(node, &["version", "listen", "period-ms", "loopback", "confirm", "returns"]);
         let version = self.number(node, "version", 1..=i128::from(u32::MAX)).unwrap_or(0);
         if node.get("version").is_none() {
             self.fault(node.span().offset(), "no version", "each change of the roster takes the next one");
         }
         let period = self.number(node, "period-ms", PERIOD).unwrap_or(PERIOD_USUAL);
         let loopback = self.flag(node, "loopback").unwrap_or(false);
+        let returns = self.flag(node, "returns").unwrap_or(true);
         let (mut seats, mut before) = (Vec::new(), Vec::new());
         let (mut addresses, mut limits) = (BTreeMap::new(), BTreeMap::new());
         for child in node.children().map(KdlDocument::nodes).unwrap_or_default() {
@@ -174,26 +177,42 @@
         addresses.remove(&id);
         let mut timing = Timing::of(period * 1000);
         timing.confirm = self.flag(node, "confirm").unwrap_or(roster.len() <= CONFIRM_MOST);
-        Some(Document { roster, listen, addresses, timing, limits })
+        Some(Document { roster, listen, addresses, timing, limits, returns })
     }
 
-    /// `limit 10 calls=60.0`: calls a second to a destination, for all together; `lend=#false` leaves each its even part.
+    /// `limit 10 calls=60.0 further=6.0`: calls a second to a destination, for all together, and of these, attempts beyond the
+    /// first; `lend=#false` leaves each its even part.
     fn limit(&mut self, node: &KdlNode, limits: &mut BTreeMap<u64, Limit>) {
-        self.known(node, &["calls", "lend"]);
+        self.known(node, &["calls", "further", "lend"]);
         let lend = self.flag(node, "lend").unwrap_or(true);
         let at = node.span().offset();
         let dest = node.get(0).and_then(KdlValue::as_integer).and_then(|n| u64::try_from(n).ok());
-        let calls = node.get("calls").and_then(|v| v.as_integer().map(|n| n as f64).or_else(|| v.as_float()));
-        let (Some(dest), Some(calls)) = (dest, calls.filter(|calls| CALLS.contains(calls))) else {
-            let remedy =
-                format!("`limit DESTINATION calls=N`, from {} to {} a second", CALLS.start(), CALLS.end());
-            self.fault(at, "a limit without its destination or its calls", remedy);
-            return;
+        // The upper half of all numbers stands for attempts beyond the first.
+        let Some(dest) = dest.filter(|dest| further_attempts(*dest) != *dest) else {
+            return self.fault(at, "a limit without its destination", "`limit DESTINATION calls=N`");
         };
-        if limits.len() >= LIMITS_MOST {
-            self.fault(at, "too many limits", format!("{LIMITS_MOST} are the most"));
-        } else if limits.insert(dest, Limit { calls: (calls * CALL as f64) as u64, lend }).is_some() {
-            self.fault(at, format!("a second limit for {dest}"), "one for each destination");
+        let mut any = false;
+        for (name, number) in [("calls", dest), ("further", further_attempts(dest))] {
+            let Some(value) = node.get(name) else { continue };
+            any = true;
+            let calls = value.as_integer().map(|n| n as f64).or_else(|| value.as_float());
+            let Some(calls) = calls.filter(|calls| CALLS.contains(calls)) else {
+                let remedy = format!("from {} to {} a second", CALLS.start(), CALLS.end());
+                self.fault(at, format!("{name} is {value}"), remedy);
+                continue;
+            };
+            if limits.len() >= LIMITS_MOST {
+                self.fault(at, "too many limits", format!("{LIMITS_MOST} are the most"));
+            } else if limits.insert(number, Limit { calls: (calls * CALL as f64) as u64, lend }).is_some() {
+                self.fault(at, format!("a second limit for {dest}"), "one for each destination");
+            }
+        }
+        if !any {
+            self.fault(
+                at,
+                "a limit without its calls",
+                "`limit DESTINATION calls=N further=N`, or one of them",
+            );
         }
     }
 
@@ -304,6 +323,29 @@
         assert!(told.iter().any(|f| f.starts_with("f:3:3:")), "{told:#?}");
     }
 
+    #[test]
+    fn limits_on_calls_and_on_further_attempts_are_two() {
+        let text =
+            |limits: &str| format!("fleet version=1 {{ member \"n0\" address=\"127.0.0.1:7\"\n{limits}\n}}");
+        let read = read("f", &text("limit 7 calls=10 further=1.5\nlimit 8 further=2"), "n0").expect("sound");
+        let calls: Vec<(u64, u64)> = read.limits.iter().map(|(n, l)| (*n, l.calls)).collect();
+        let further = [7, 8].map(further_attempts);
+        assert_eq!(calls, [(7, 10 * CALL), (further[0], 3 * CALL / 2), (further[1], 2 * CALL)]);
+        for (limit, told) in [
+            ("limit 7", "without its calls"),
+            ("limit calls=3", "without its destination"),
+            ("limit 9223372036854775815 calls=1", "without its destination"),
+            ("limit 7 further=#true", "further is #true"),
+            ("limit 7 calls=1\nlimit 7 calls=2", "a second limit"),
+        ] {
+            assert!(
+                faults(&text(limit)).iter().any(|f| f.contains(told)),
+                "{limit}: {:?}",
+                faults(&text(limit))
+            );
+        }
+    }
+
     #[test]
     fn a_roster_without_me_or_with_a_name_twice_is_refused() {
         let one = "fleet version=1 { member \"n1\" address=\"127.0.0.1:7\"; }";
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -18,12 +18,14 @@
 
 pub use clock::now;
 pub use codec::{
-    CodecError, NEWS_WORDS, News, PACKET_MOST, WHOLE_MOST, decode, decode_letter, decode_news, encode,
-    encode_letter, encode_news, is_letter, is_news,
+    CodecError, NEWS_WORDS, News, PACKET_MOST, TOLD_WORDS, Told, WHOLE_MOST, decode, decode_findings,
+    decode_letter, decode_news, decode_told, encode, encode_findings, encode_letter, encode_news,
+    encode_told, is_findings, is_letter, is_news, is_told,
 };
 pub use control::{ControlError, ask, serve};
 pub use document::{Document, Fault, read};
 pub use identity::{IdentityError, IdentityFile};
 pub use node::{FleetError, Handle, Node, Options};
-pub use status::{KnowledgeStatus, LimitsStatus, MemberStatus, NamedKnown, NamedLimit, Status};
+pub use status::{KnowledgeStatus, LimitsStatus, MemberStatus, NamedKnown, NamedLimit, NamedOutage, Status};
+pub use yarrowhill_knowledge::{Ended, Ramp};
 pub use yarrowhill_rights::{LimitStatus, Refusals};
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -2,8 +2,9 @@
 
 use crate::clock;
 use crate::codec::{
-    NEWS_WORDS, News, PACKET_MOST, WHOLE_MOST, decode, decode_letter, decode_news, encode, encode_letter,
-    encode_news, is_letter, is_news,
+    NEWS_WORDS, News, PACKET_MOST, TOLD_WORDS, Told, WHOLE_MOST, decode, decode_findings, decode_letter,
+    decode_news, decode_told, encode, encode_findings, encode_letter, encode_news, encode_told, is_findings,
+    is_letter, is_news, is_told,
 };
 use crate::document::Document;
 use crate::identity::{IdentityError, IdentityFile};
@@ -19,11 +20,11 @@
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::{Notify, Semaphore, watch};
 use tokio::time::{sleep, timeout};
-use yarrowhill_knowledge::Knowledge;
+use yarrowhill_knowledge::{Ended, Judgement, Knowledge, Leave, Newcomer, Outages, Ramp, WaitWord};
 use yarrowhill_membership::{
     Event, Life, MemberId, Membership, Micros, Output, Packet, Permits, Roster, RosterError, Whole,
 };
-use yarrowhill_rights::{Letter, Sharing, Spans};
+use yarrowhill_rights::{Letter, Sharing, Spans, further_attempts};
 
 /// Clock rates are held to be right within this part of 1.
 const DRIFT: f64 = 0.01;
@@ -33,8 +34,10 @@
 const EXCHANGE: Duration = Duration::from_secs(2);
 /// Exchanges at once that others began; further ones are closed unread.
 const EXCHANGES_MOST: usize = 4;
-/// Packets of news that one that has just started is told at once.
-const NEWS_PACKETS: usize = 4;
+/// Packets in which one that has just started is told what holds.
+const TOLD_PACKETS: usize = 8;
+/// Where outages are nobody's matter.
+const NO_RAMP: Ramp = Ramp { turn: 1, warm: 1, start: 1.0 };
 /// After a failure of a socket or of the disk.
 const PAUSE: Duration = Duration::from_millis(200);
 
@@ -66,14 +69,19 @@
     pub state: &'a Path,
     /// For random numbers.
     pub seed: u64,
+    /// How destinations come back after an outage. None: nothing is told of outages, and each goes by its own.
+    pub ramp: Option<Ramp>,
 }
 
 struct Shared {
     core: Mutex<Membership>,
     sharing: Mutex<Sharing>,
     knowledge: Mutex<Knowledge>,
-    /// Until when it asks the others for what holds, unless somebody has told it before.
-    newcomer: AtomicU64,
+    outages: Mutex<Outages>,
+    /// Whether outages are told on, and kept.
+    judges: bool,
+    /// It asks the others for what holds, until somebody has told it all.
+    newcomer: Mutex<Newcomer>,
     addresses: Mutex<BTreeMap<MemberId, SocketAddr>>,
     /// Something is to be sent, or a timer has changed.
     stir: Notify,
@@ -105,43 +113,87 @@
         self.0.knowledge.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Whether a call to a destination may begin now, by what others were told and by the limit that all share; else after
-    /// how long it is to ask again. To be asked at the last step before its first byte. `again`: it was held back before.
+    fn newcomer(&self) -> MutexGuard<'_, Newcomer> {
+        self.0.newcomer.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn outages(&self) -> MutexGuard<'_, Outages> {
+        self.0.outages.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether a call to a destination may begin now: by what others were told, by what all found of it, and by the limits
+    /// that all share; else after how long it is to ask again. To be asked at the last step before its first byte. `further`:
+    /// every message in it has been tried before. `again`: the call was held back before.
     ///
     /// # Errors
     ///
     /// It is to be held back.
-    pub fn begin(&self, dest: u64, again: bool) -> Result<(), Duration> {
-        let wait = self.knowledge().wait(clock::now(), dest);
-        if let Some(wait) = wait {
-            return Err(Duration::from_micros(wait));
-        }
-        let held = self.sharing().begin(clock::now(), dest, again);
-        if held.is_err() && !again {
-            self.0.stir.notify_one();
+    pub fn begin(&self, dest: u64, further: bool, again: bool) -> Result<(), Duration> {
+        let now = clock::now();
+        let limits = [dest, further_attempts(dest)];
+        let limits = &limits[..1 + usize::from(further)];
+        let wait = self.knowledge().wait(now, dest);
+        let leave = match wait {
+            Some(wait) => Leave::Hold(wait),
+            None if self.0.judges => self.outages().leave(now, dest),
+            None => Leave::Part(1.0),
+        };
+        let part = match leave {
+            Leave::Part(part) => part,
+            Leave::Trial => 1.0,
+            Leave::Hold(wait) => {
+                if !again {
+                    self.sharing().asked(now, limits);
+                }
+                return Err(Duration::from_micros(wait));
+            }
+        };
+        let held = self.sharing().begin(now, limits, part, again);
+        if held.is_err() {
+            if leave == Leave::Trial {
+                self.outages().not_tried(dest);
+            }
+            if !again {
+                self.0.stir.notify_one();
+            }
         }
         held.map_err(Duration::from_micros)
     }
 
     /// A destination told this forwarder to wait.
     pub fn told_wait(&self, dest: u64, span: Duration) {
-        let span = Micros::try_from(span.as_micros()).unwrap_or(Micros::MAX);
-        self.knowledge().told_wait(clock::now(), dest, span);
+        let (now, span) = (clock::now(), Micros::try_from(span.as_micros()).unwrap_or(Micros::MAX));
+        self.knowledge().told_wait(now, dest, span);
+        if self.0.judges {
+            self.outages().shut(now, dest, now.saturating_add(span));
+        }
         self.0.stir.notify_one();
     }
 
-    /// A call that began so long ago was served.
-    pub fn served(&self, dest: u64, took: Duration) {
+    /// A call has ended that began so long ago.
+    pub fn ended(&self, dest: u64, took: Duration, how: Ended) {
         let now = clock::now();
-        let took = Micros::try_from(took.as_micros()).unwrap_or(Micros::MAX);
-        self.knowledge().served(now, dest, now.saturating_sub(took));
+        let began = now.saturating_sub(Micros::try_from(took.as_micros()).unwrap_or(Micros::MAX));
+        if how == Ended::Served {
+            self.knowledge().served(now, dest, began);
+        }
+        if self.0.judges {
+            let mut outages = self.outages();
+            outages.ended(now, dest, began, how);
+            let news = outages.has_news(now);
+            drop(outages);
+            // What changes nothing wakes nobody.
+            if news {
+                self.0.stir.notify_one();
+            }
+        }
     }
 
     /// What is known of destinations.
     pub fn destinations(&self) -> KnowledgeStatus {
         let (roster, now) = (self.roster(), clock::now());
-        let newcomer = now < self.0.newcomer.load(Ordering::Relaxed);
-        KnowledgeStatus::of(&self.knowledge(), now, &roster, newcomer)
+        let newcomer = self.newcomer().asks(now);
+        KnowledgeStatus::of(&self.knowledge(), &self.outages(), now, &roster, newcomer)
     }
 
     /// How the shared limits stand here.
@@ -224,8 +276,8 @@
     ///
     /// The sockets or the folder can't be had, or the roster lacks this member.
     pub async fn start(options: Options<'_>) -> Result<Self, FleetError> {
-        let Options { name, document, state, seed } = options;
-        let Document { roster, listen, addresses, timing, limits } = document;
+        let Options { name, document, state, seed, ramp } = options;
+        let Document { roster, listen, addresses, timing, limits, returns: _ } = document;
         let failed = |e| FleetError::Socket(listen, e);
         let udp = UdpSocket::bind(listen).await.map_err(failed)?;
         let tcp = TcpListener::bind(listen).await.map_err(failed)?;
@@ -243,7 +295,9 @@
             core: Mutex::new(core),
             sharing: Mutex::new(sharing),
             knowledge: Mutex::new(Knowledge::new(MemberId::of(name).0, boot, seed ^ life.0)),
-            newcomer: AtomicU64::new(now + timing.settle_most),
+            outages: Mutex::new(Outages::new(MemberId::of(name).0, boot, ramp.unwrap_or(NO_RAMP))),
+            judges: ramp.is_some(),
+            newcomer: Mutex::new(Newcomer::new(now + timing.settle_most)),
             addresses: Mutex::new(addresses),
             stir: Notify::new(),
             senders,
@@ -313,6 +367,18 @@
                 Err(_) => drop(self.handle.0.spoilt.fetch_add(1, Ordering::Relaxed)),
             };
         }
+        if is_findings(bytes) {
+            return match decode_findings(bytes) {
+                Ok(findings) => self.heard_findings(&findings),
+                Err(_) => drop(self.handle.0.spoilt.fetch_add(1, Ordering::Relaxed)),
+            };
+        }
+        if is_told(bytes) {
+            return match decode_told(bytes) {
+                Ok(told) => self.told(id, &told),
+                Err(_) => drop(self.handle.0.spoilt.fetch_add(1, Ordering::Relaxed)),
+            };
+        }
         if is_letter(bytes) {
             return match decode_letter(bytes) {
                 Ok(letter) => {
@@ -376,11 +442,12 @@
     }
 
     fn is_newcomer(&self) -> bool {
-        clock::now() < self.handle.0.newcomer.load(Ordering::Relaxed)
+        self.handle.newcomer().asks(clock::now())
     }
 
     fn has_news(&self) -> bool {
-        self.is_newcomer() || self.handle.knowledge().has_news(clock::now())
+        let now = clock::now();
+        self.is_newcomer() || self.handle.knowledge().has_news(now) || self.handle.outages().has_news(now)
     }
 
     /// Passes on what is fresh, to a few of those that are there; one that has just started asks them for all.
@@ -404,12 +471,28 @@
             knowledge.set_boot(boot);
             (knowledge.peers(&there), knowledge.words(now, NEWS_WORDS, there.len() + 1))
         };
+        let findings = {
+            let mut outages = self.handle.outages();
+            outages.set(boot, there.len() + 1);
+            outages.words(now, NEWS_WORDS, there.len() + 1)
+        };
         let news = News { hello: self.is_newcomer(), words };
-        if !news.hello && news.words.is_empty() {
-            return;
-        }
         for to in peers {
-            self.send_news(MemberId(to), &news).await;
+            if news.hello || !news.words.is_empty() {
+                self.send_news(MemberId(to), &news).await;
+            }
+            if !findings.is_empty() {
+                self.send_findings(MemberId(to), &findings).await;
+            }
+        }
+    }
+
+    async fn send_findings(&self, to: MemberId, findings: &[Judgement]) {
+        let Some(at) = self.handle.address(to) else { return };
+        match encode_findings(findings) {
+            // What the network does not take is lost, as on the way.
+            Ok(bytes) => drop(self.udp.send_to(&bytes, at).await),
+            Err(e) => tracing::error!("fleet: findings: {e}"),
         }
     }
 
@@ -423,20 +506,52 @@
     }
 
     async fn news(&self, from: MemberId, news: &News) {
-        let now = clock::now();
-        let all = {
-            let mut knowledge = self.handle.knowledge();
-            news.words.iter().take(NEWS_WORDS).for_each(|word| knowledge.hear(now, word));
-            if news.hello { knowledge.all(now, NEWS_WORDS * NEWS_PACKETS) } else { Vec::new() }
-        };
+        self.heard_waits(&news.words);
         if news.hello {
-            // An empty answer is one too: nothing holds.
-            for words in all.chunks(NEWS_WORDS).chain(all.is_empty().then_some(&[][..])) {
-                self.send_news(from, &News { hello: false, words: words.to_vec() }).await;
+            self.tell_all(from).await;
+        }
+    }
+
+    fn heard_waits(&self, words: &[WaitWord]) {
+        let now = clock::now();
+        let mut knowledge = self.handle.knowledge();
+        for word in words.iter().take(NEWS_WORDS) {
+            knowledge.hear(now, word);
+            if let Some(wait) = knowledge.wait(now, word.dest).filter(|_| self.handle.0.judges) {
+                self.handle.outages().shut(now, word.dest, now.saturating_add(wait));
+            }
+        }
+    }
+
+    fn heard_findings(&self, findings: &[Judgement]) {
+        if self.handle.0.judges {
+            let now = clock::now();
+            let mut outages = self.handle.outages();
+            findings.iter().take(NEWS_WORDS).for_each(|word| outages.hear(now, word));
+        }
+    }
+
+    /// Everything that holds, for one that has just started.
+    async fn tell_all(&self, to: MemberId) {
+        let Some(at) = self.handle.address(to) else { return };
+        let (now, most) = (clock::now(), TOLD_WORDS * TOLD_PACKETS);
+        let waits = self.handle.knowledge().all(now, most);
+        let findings = self.handle.outages().all(now, most);
+        for part in Told::parts(&waits, &findings) {
+            match encode_told(&part) {
+                // What the network does not take is lost, as on the way.
+                Ok(bytes) => drop(self.udp.send_to(&bytes, at).await),
+                Err(e) => tracing::error!("fleet: what a newcomer is told: {e}"),
             }
-        } else {
-            self.handle.0.newcomer.store(0, Ordering::Relaxed);
         }
+        // A build that knows no parts takes any news for its answer.
+        self.send_news(to, &News { hello: false, words: waits.into_iter().take(NEWS_WORDS).collect() }).await;
+    }
+
+    fn told(&self, from: MemberId, told: &Told) {
+        self.heard_waits(&told.waits);
+        self.heard_findings(&told.findings);
+        self.handle.newcomer().answered(from.0, told.part, told.parts);
     }
 
     async fn post(&self, to: MemberId, letter: &Letter) {
--- a/crates/fleet/src/status.rs
+++ b/crates/fleet/src/status.rs
@@ -1,7 +1,7 @@
 //! What a forwarder tells of its fleet.
 
 use serde::{Deserialize, Serialize};
-use yarrowhill_knowledge::{Knowledge, Known};
+use yarrowhill_knowledge::{Knowledge, Known, Outage, Outages};
 use yarrowhill_membership::{Health, MemberId, Membership, Micros, Permits, Refused, Roster, Standing};
 use yarrowhill_rights::{LimitStatus, Refusals, Sharing};
 
@@ -163,6 +163,18 @@
     pub origin_name: Option<String>,
 }
 
+/// How a destination stands that is not simply up, with names.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct NamedOutage {
+    /// How it stands.
+    #[serde(flatten)]
+    pub outage: Outage,
+    /// Who found it down.
+    pub found_names: Vec<String>,
+    /// Who tries.
+    pub tries_name: Option<String>,
+}
+
 /// What a forwarder knows of destinations.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct KnowledgeStatus {
@@ -172,6 +184,9 @@
     pub at: Micros,
     /// Waits that hold.
     pub waits: Vec<NamedKnown>,
+    /// Outages that hold, and returns.
+    #[serde(default)]
+    pub outages: Vec<NamedOutage>,
     /// It has just started, and nobody has told it yet what holds.
     pub newcomer: bool,
     /// Words that were not believed.
@@ -180,12 +195,26 @@
 
 impl KnowledgeStatus {
     /// What a member knows at a moment.
-    pub fn of(knowledge: &Knowledge, now: Micros, roster: &Roster, newcomer: bool) -> Self {
+    pub fn of(
+        knowledge: &Knowledge,
+        outages: &Outages,
+        now: Micros,
+        roster: &Roster,
+        newcomer: bool,
+    ) -> Self {
         let named = |known: Known| {
             let origin_name = roster.name(MemberId(known.origin)).map(str::to_owned);
             NamedKnown { known, origin_name }
         };
         let waits = knowledge.known(now).into_iter().map(named).collect();
-        KnowledgeStatus { version: 1, at: now, waits, newcomer, refused: knowledge.refused() }
+        let name = |id: u64| roster.name(MemberId(id)).unwrap_or("?").to_owned();
+        let named = |outage: Outage| NamedOutage {
+            found_names: outage.found.iter().map(|(id, _)| name(*id)).collect(),
+            tries_name: outage.tries.map(name),
+            outage,
+        };
+        let outages_now = outages.known(now).into_iter().map(named).collect();
+        let refused = knowledge.refused() + outages.refused();
+        KnowledgeStatus { version: 1, at: now, waits, outages: outages_now, newcomer, refused }
     }
 }
--- a/crates/fuzz/src/target.rs
+++ b/crates/fuzz/src/target.rs
@@ -157,6 +157,7 @@
             body: "body".into(),
             until,
             begin_by: until,
+            further: false,
         };
         let items: Vec<Item> = (0..items).map(item).collect();
         let mut left = items.len();
--- a/crates/http/src/calls.rs
+++ b/crates/http/src/calls.rs
@@ -16,6 +16,8 @@
 use std::time::Duration;
 use tokio::sync::mpsc::Sender;
 use tokio::time::{Instant, sleep_until};
+#[cfg(feature = "gate")]
+use yarrowhill_engine::CallWent;
 use yarrowhill_engine::{AttemptEnd, Call, CallEnd, Input, Item, Order};
 use yarrowhill_policy::api::{Micros, Outcome, Report};
 use yarrowhill_settings::read_report;
@@ -39,7 +41,9 @@
     keep: impl FnOnce(Connection),
 ) {
     let waiting = std::mem::take(&mut call.items);
-    let mut pending = Pending { call, results, waiting, given_up: Vec::new() };
+    let mut pending = Pending { call, results, waiting, given_up: Vec::new(), late: false };
+    #[cfg(feature = "gate")]
+    let mut began = Instant::now();
     let answer = loop {
         connection = connection.filter(Connection::is_open);
         let kept = connection.is_some();
@@ -71,21 +75,17 @@
             "written"
         );
         #[cfg(feature = "gate")]
-        let began = Instant::now();
+        (began = Instant::now());
         match pending.during(exchange(open, request), Stage::Written).await {
             // A connection that was kept has turned out to be of no use: the call opens another one.
             Some(Err(Silence::Unwritten)) if kept => connection = None,
-            answer => {
-                #[cfg(feature = "gate")]
-                if let Some(Ok(answer)) = &answer {
-                    let wait = answer.wait.and_then(|wait| u64::try_from(wait).ok());
-                    let (wait, served) = (wait.map(Duration::from_micros), answer.status == StatusCode::OK);
-                    gate.answered(pending.call.dest, began.elapsed(), wait, served);
-                }
-                break answer;
-            }
+            answer => break answer,
         }
     };
+    #[cfg(feature = "gate")]
+    if let Some(how) = went(&answer, pending.late) {
+        gate.ended(pending.call.dest, began.elapsed(), how);
+    }
     let Some(answer) = answer else {
         if let Some(open) = connection.take() {
             open.close().await;
@@ -112,6 +112,8 @@
     results: Sender<Input>,
     waiting: Vec<Item>,
     given_up: Vec<AttemptEnd>,
+    /// One of them was written and had no answer in its time.
+    late: bool,
 }
 
 impl Pending {
@@ -155,7 +157,8 @@
     async fn admit(&mut self, gate: &Gated) {
         let since = Instant::now();
         let mut again = false;
-        while let Err(wait) = gate.begin(self.call.dest, again) {
+        let further = self.waiting.iter().all(|item| item.further);
+        while let Err(wait) = gate.begin(self.call.dest, further, again) {
             again = true;
             if since.elapsed() >= HELD_MOST {
                 let wait = Some(wait.as_micros() as Micros);
@@ -172,7 +175,9 @@
     /// Ends those whose time is up at this stage.
     fn expire(&mut self, stage: Stage, now: Instant) {
         let outcome = if stage == Stage::Written { Outcome::TimedOut } else { Outcome::NotSent };
+        let before = self.waiting.len();
         self.part(outcome, |i| stage.ends(i) <= now);
+        self.late |= stage == Stage::Written && self.waiting.len() < before;
     }
 
     /// Moves those that meet the condition to the ended ones.
@@ -199,6 +204,25 @@
     AttemptEnd { id: item.id, attempt: item.attempt, outcome, finished: false, report: None, wait: None }
 }
 
+/// What a call's end says of its destination; nothing where it was called off.
+#[cfg(feature = "gate")]
+fn went(answer: &Option<Result<Answer, Silence>>, late: bool) -> Option<CallWent> {
+    match answer {
+        Some(Ok(answer)) if answer.status == StatusCode::OK => Some(CallWent::Served),
+        Some(Ok(Answer { wait: Some(wait), .. })) => {
+            Some(CallWent::Wait(Duration::from_micros(wait.unsigned_abs())))
+        }
+        Some(Ok(answer))
+            if answer.status.is_server_error() && answer.status != StatusCode::SERVICE_UNAVAILABLE =>
+        {
+            Some(CallWent::Failed)
+        }
+        Some(Ok(_)) => Some(CallWent::Refused),
+        Some(Err(_)) => Some(CallWent::Failed),
+        None => late.then_some(CallWent::Failed),
+    }
+}
+
 #[derive(Serialize)]
 struct BatchItem<'a> {
     id: &'a str,
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -8,6 +8,8 @@
 use std::time::Duration;
 use tokio::sync::mpsc::Sender;
 use tokio::time::Instant;
+#[cfg(feature = "gate")]
+use yarrowhill_engine::CallWent;
 use yarrowhill_engine::{Call, Input, Transport};
 #[cfg(feature = "gate")]
 use yarrowhill_policy::api::DestId;
@@ -47,12 +49,12 @@
         self.gate.as_ref().is_none_or(|gate| gate.may_send())
     }
 
-    pub(crate) fn begin(&self, dest: DestId, again: bool) -> Result<(), Duration> {
-        self.gate.as_ref().map_or(Ok(()), |gate| gate.begin(dest, again))
+    pub(crate) fn begin(&self, dest: DestId, further: bool, again: bool) -> Result<(), Duration> {
+        self.gate.as_ref().map_or(Ok(()), |gate| gate.begin(dest, further, again))
     }
 
-    pub(crate) fn answered(&self, dest: DestId, took: Duration, wait: Option<Duration>, served: bool) {
-        self.gate.iter().for_each(|gate| gate.answered(dest, took, wait, served));
+    pub(crate) fn ended(&self, dest: DestId, took: Duration, how: CallWent) {
+        self.gate.iter().for_each(|gate| gate.ended(dest, took, how));
     }
 
     pub(crate) fn may_take_on(&self) -> bool {
--- a/crates/http/tests/calls.rs
+++ b/crates/http/tests/calls.rs
@@ -145,7 +145,16 @@
 }
 
 fn item(id: u64, until: Instant, begin_by: Instant) -> Item {
-    Item { id, attempt: 0, name: format!("m{id}"), key: None, body: "body".into(), until, begin_by }
+    Item {
+        id,
+        attempt: 0,
+        name: format!("m{id}"),
+        key: None,
+        body: "body".into(),
+        until,
+        begin_by,
+        further: false,
+    }
 }
 
 /// Calls twice. Between the two this thread stands still, so that the runtime knows nothing of what comes meanwhile.
--- a/crates/knowledge/src/lib.rs
+++ b/crates/knowledge/src/lib.rs
@@ -1,8 +1,9 @@
-//! What members of a fleet tell each other of destinations. So far: waits that a destination told to one of them, which the
-//! others, and newcomers too, then keep without having been told themselves. No I/O, no clock: moments, words and a seeded
-//! source of chance come in, words go out.
+//! What members of a fleet tell each other of destinations: waits that a destination told to one of them, which the others, and
+//! newcomers too, then keep without having been told themselves; and outages that they found by their own calls, in which one
+//! tries first, and after which all come back along one ramp ([`Outages`]). No I/O, no clock: moments, words and a seeded source of
+//! chance come in, words go out.
 //!
-//! It is evidence, not command, and bounded as such:
+//! It is evidence, not command, and bounded as such. Of waits:
 //!
 //! - **Origin and order.** A word is one origin's about one destination. Of two by the same origin the one of the higher
 //!   boot, then of the higher count, holds; so merging is a maximum: commutative, associative, idempotent.
@@ -28,9 +29,15 @@
 //! ```
 
 mod credit;
+mod findings;
+mod newcomer;
+mod outages;
 mod waits;
 
 pub use credit::{CREDIT_MOST, CREDIT_PART, Credit};
+pub use findings::{Ended, Finding, Judgement};
+pub use newcomer::Newcomer;
+pub use outages::{Leave, Outage, Outages, Ramp, Stand};
 pub use waits::{Knowledge, Known, WAIT_MOST, WaitWord};
 
 /// Microseconds, on the clock of the process that counts them.
--- a/crates/rig/src/bin/rig.rs
+++ b/crates/rig/src/bin/rig.rs
@@ -6,11 +6,10 @@
 use std::io;
 use std::path::PathBuf;
 use std::process::ExitCode;
-use yarrowhill_checker::Reach;
-use yarrowhill_checker::Rule;
+use yarrowhill_checker::{Reach, Returned, Rule};
 use yarrowhill_rig::{
     Bug, Cell, FleetPlayed, FleetScene, Load, Played, Scratch, Script, Sharing, Sweep, count, directed,
-    limited, patched, play_load, play_scenes, sweep,
+    limited, patched, play_load, play_scenes, returning, sweep,
 };
 
 /// Plays scripted faults by seeds against the forwarder and judges the six rules.
@@ -97,6 +96,9 @@
         /// The directed scenes under a limit that all share.
         #[arg(long)]
         limited: bool,
+        /// The directed scenes of partners that are down and come back.
+        #[arg(long)]
+        returning: bool,
         /// Seeds under a limit that all share.
         #[arg(long, default_value_t = 0)]
         limited_seeds: u64,
@@ -293,6 +295,7 @@
             scene,
             directed: all,
             limited: limits,
+            returning: returns,
             limited_seeds,
             compare,
             only,
@@ -313,12 +316,13 @@
             }
             scenes.extend((from..from + seeds).map(FleetScene::draw));
             scenes.extend(if limits { limited() } else { Vec::new() });
+            scenes.extend(if returns { returning() } else { Vec::new() });
             scenes.extend((from..from + limited_seeds).map(FleetScene::draw_limited));
             if let Some(only) = only {
                 scenes.retain(|scene| scene.name.contains(&only));
             }
             if compare {
-                let ways = [Sharing::Rights, Sharing::Even, Sharing::Alone];
+                let ways = [Sharing::Rights, Sharing::Apart, Sharing::Even, Sharing::Alone];
                 let by = |scene: &FleetScene, way| {
                     let (limit, name) = (scene.limit.map(|(calls, _)| (calls, way)), &scene.name);
                     FleetScene { limit, name: format!("{name}, {way:?}"), ..scene.clone() }
@@ -538,7 +542,13 @@
                 "{}: {calls} calls, {used:.2} of what {limit:.1} a second allow; {excess:.1} beyond it at {at:.0} ms",
                 scene.name
             );
-            if way == Sharing::Alone && played.rules.is_empty() && played.crashed.is_empty() {
+            for Returned { dest, tried, may, excess, beyond, full, .. } in &played.returns {
+                let full = full.map_or("never".to_owned(), |ms| format!("after {:.1} s", ms / 1000.0));
+                println!(
+                    "  {dest}: {tried} calls while it was down ({may:.0} may be), {excess:.1} beyond what it bore when it was back ({beyond:.0} may be), full use {full}"
+                );
+            }
+            if way != Sharing::Rights && played.rules.is_empty() && played.crashed.is_empty() {
                 return;
             }
         }
--- a/crates/rig/src/bugs.rs
+++ b/crates/rig/src/bugs.rs
@@ -1,7 +1,7 @@
 //! Known bugs, each a small patch beside the rig: the product's own text knows nothing of them. A rig that does not
 //! catch them proves nothing by its silence.
 
-use crate::fleet::{FleetAct, FleetScene, Folder, Sharing};
+use crate::fleet::{FleetAct, FleetScene, Folder, Sharing, returning};
 use crate::load::Load;
 use crate::script::{Act, Dest, Script};
 use yarrowhill_standins::Faults;
@@ -84,6 +84,10 @@
     GrantFromArrival = "count-a-grant-from-its-arrival",
     /// A wait that others were told holds nothing back.
     DeafToWaits = "call-during-a-wait-of-others",
+    /// In an outage everybody tries once a turn.
+    TryAll = "try-all-at-once",
+    /// What is back is called as before, warm or not.
+    BackApart = "come-back-each-for-itself",
 }
 
 /// What is played against a bug.
@@ -106,7 +110,7 @@
     /// Whether it is one of a package without I/O: then `attack` must catch it too, without any process. What is told on of
     /// waits is kept by the gate alone.
     pub fn is_of_members(self) -> bool {
-        self.fleet().is_some() && self != Bug::DeafToWaits
+        self.is_of_returns() || (self.fleet().is_some() && self != Bug::DeafToWaits)
     }
 
     /// One of shared limits: `attack` must catch that too.
@@ -115,6 +119,11 @@
         matches!(self, UseLent | ForgetPromises | PromiseFromArrival | GrantFromArrival)
     }
 
+    /// One of outages and returns: `attack` must catch that too.
+    pub fn is_of_returns(self) -> bool {
+        matches!(self, Bug::TryAll | Bug::BackApart)
+    }
+
     /// The scene over several processes that must show a bug of shared limits: four lend to one that is busy, and the
     /// traffic moves to them.
     fn limited(self) -> Option<FleetScene> {
@@ -185,6 +194,11 @@
     /// What is made for it: a calm world in which that alone goes wrong which the bug gets wrong, placed where it must
     /// show. The seed varies traffic and timing.
     pub fn scene(self, seed: u64) -> Scene {
+        if self.is_of_returns()
+            && let Some(scene) = returning().into_iter().next()
+        {
+            return Scene::Fleet(FleetScene { seed, name: self.name().to_owned(), ..scene });
+        }
         if let Some(scene) = self.fleet() {
             return Scene::Fleet(FleetScene { seed, ..scene });
         }
--- a/crates/rig/src/fleet/play.rs
+++ b/crates/rig/src/fleet/play.rs
@@ -18,13 +18,17 @@
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 use yarrowhill_checker::{
-    Breach, Claim, Event, FleetBreach, FleetEntry, FleetEvent, FleetTerms, Reach, Rule, accounts, judge,
-    judge_fleet, judge_reach,
+    Breach, Claim, Cold, Event, FleetBreach, FleetEntry, FleetEvent, FleetTerms, Reach, Returned, Rule,
+    accounts, judge, judge_fleet, judge_reach, judge_returns,
 };
 use yarrowhill_standins::{Destination, Ledger, Message, Patience, Rng, hand_in};
 
 /// Between two questions to a process.
 const ASK_EVERY: Duration = Duration::from_millis(50);
+/// A message is given up after two seconds, and calls that hang with it: three in a row of each take so long at the most (ms).
+const FOUND: f64 = 4000.0;
+/// In an outage one call a turn is made; a turn is the shortest aim, or two periods, and seen by others a period later.
+const TRIES: f64 = 2.0;
 /// An answer takes no longer, unless the process is stopped.
 const ANSWER: Duration = Duration::from_millis(500);
 
@@ -43,6 +47,8 @@
     pub lateness: f64,
     /// What reached destinations from all, where there was a limit.
     pub reach: Reach,
+    /// What reached those that were down and came back.
+    pub returns: Vec<Returned>,
     /// All that was done and told.
     pub ledger: Vec<FleetEntry>,
 }
@@ -162,7 +168,7 @@
         rules.extend(kept.map(|b| (n, b)));
     }
     let mut ledger = book.entries.lock().unwrap_or_else(PoisonError::into_inner).clone();
-    let waits = scene.acts.iter().any(|(_, act)| matches!(act, FleetAct::Shut(..)));
+    let waits = scene.acts.iter().any(|(_, act)| matches!(act, FleetAct::Shut(..) | FleetAct::Down(..)));
     if scene.limit.is_some() || waits {
         for (from, seat) in fleet.seats.iter().enumerate() {
             // The seat's clock began when its stand-ins did.
@@ -187,7 +193,8 @@
     }
     let terms = fleet_terms(scene, lateness);
     let (breaches, reach) = (judge_fleet(&terms, scene.size, &ledger), judge_reach(&terms, &ledger));
-    Ok(FleetPlayed { breaches, rules, taken_on, crashed, lateness, reach, ledger })
+    let returns = judge_returns(&terms, scene.size, &ledger);
+    Ok(FleetPlayed { breaches, rules, taken_on, crashed, lateness, reach, returns, ledger })
 }
 
 /// Plays scenes beside each other and tells of each as it ends.
@@ -236,7 +243,16 @@
     // A wait that is long is of a door that is shut (a quarter of what it takes to get warm); it is told on to three in
     // each quarter of a period, and a packet may be lost.
     let (shut, heard) = (FAIL_BACK[3] / 4.0, 4.0 * period);
-    FleetTerms { known, known_few, agreed, settled, forgotten, shut, heard, slack: 200.0 + 4.0 * lateness }
+    let cold = Cold {
+        // Its own calls fail by their time, three in a row, and the word of it goes round.
+        found: FOUND + heard,
+        start: FAIL_BACK[2],
+        warm: FAIL_BACK[3],
+        tries: TRIES * period,
+        late: lateness,
+    };
+    let slack = 200.0 + 4.0 * lateness;
+    FleetTerms { known, known_few, agreed, settled, forgotten, shut, heard, cold, slack }
 }
 
 struct Acting<'a> {
@@ -258,7 +274,14 @@
 enum Later {
     Wake(usize),
     TwinEnds(usize),
-    Cut { one: usize, cut: bool, every: f64, until: Instant },
+    /// A destination of these opens again, cold.
+    Back(Vec<usize>, usize),
+    Cut {
+        one: usize,
+        cut: bool,
+        every: f64,
+        until: Instant,
+    },
 }
 
 impl Acting<'_> {
@@ -337,6 +360,15 @@
             FleetAct::Shut(n, dest, span) => {
                 let dests = &self.fleet.seats[*n].stage.dests;
                 dests.get(*dest).into_iter().for_each(|dest| dest.go_down(true, *span));
+                self.later.push((Instant::now() + ms(*span), Later::Back(vec![*n], *dest)));
+            }
+            FleetAct::Down(dest, span) => {
+                for seat in &self.fleet.seats {
+                    seat.stage.dests.get(*dest).into_iter().for_each(|dest| dest.go_down(false, *span));
+                }
+                self.book.write(FleetEvent::Outage { dest: FIRST_DEST + *dest as u64, back: false });
+                let all = (0..self.scene.size).collect();
+                self.later.push((Instant::now() + ms(*span), Later::Back(all, *dest)));
             }
             FleetAct::Busy(n) => self.busy.store(*n, Ordering::Relaxed),
             FleetAct::Disk(n, full) => {
@@ -402,6 +434,15 @@
                         self.fleet.seats[n].process.signal("CONT").await?;
                     }
                 }
+                Later::Back(seats, dest) => {
+                    for seat in &seats {
+                        let dests = &self.fleet.seats[*seat].stage.dests;
+                        dests.get(dest).into_iter().for_each(|dest| dest.come_back(FAIL_BACK[3]));
+                    }
+                    if seats.len() == self.scene.size {
+                        self.book.write(FleetEvent::Outage { dest: FIRST_DEST + dest as u64, back: true });
+                    }
+                }
                 Later::TwinEnds(n) => {
                     if let Some((mut seat, mut looks)) = self.twins.remove(&n) {
                         looks.shutdown().await;
--- a/crates/rig/src/fleet/scene.rs
+++ b/crates/rig/src/fleet/scene.rs
@@ -62,6 +62,8 @@
     Shut(usize, usize, f64),
     /// What came to the busy one comes to this one from now on.
     Busy(usize),
+    /// The first or second destination of everybody answers nothing for so long (ms), and comes back cold.
+    Down(usize, f64),
 }
 
 /// How processes keep to a limit that they share.
@@ -69,6 +71,8 @@
 pub enum Sharing {
     /// By rights that they lend and borrow.
     Rights,
+    /// By rights that they lend and borrow, but each finds out by its own calls who is down, and comes back for itself.
+    Apart,
     /// Each has its even part.
     Even,
     /// Each for itself, as the module does alone.
@@ -238,9 +242,10 @@
         if node.get("limit").is_some() {
             let way = match node.get("share").and_then(KdlValue::as_string) {
                 None | Some("rights") => Sharing::Rights,
+                Some("apart") => Sharing::Apart,
                 Some("even") => Sharing::Even,
                 Some("alone") => Sharing::Alone,
-                Some(_) => return Err(SceneError("share is rights, even or alone".into())),
+                Some(_) => return Err(SceneError("share is rights, apart, even or alone".into())),
             };
             scene.limit = Some((number(node, "limit")?, way));
         }
@@ -263,7 +268,7 @@
     pub(super) fn span(&self) -> f64 {
         match self {
             FleetAct::Stall(_, span) | FleetAct::Flap(_, _, span) | FleetAct::Crowd(_, _, span) => *span,
-            FleetAct::Shut(_, _, span) => *span,
+            FleetAct::Shut(_, _, span) | FleetAct::Down(_, span) => *span,
             // And what was heard of it is forgotten.
             FleetAct::Twin(_, span) => *span + FORGOTTEN * PERIOD as f64,
             _ => 0.0,
@@ -334,6 +339,7 @@
         "move" => FleetAct::Move(process(0)?),
         "limit" => FleetAct::Limit(span(0)?),
         "busy" => FleetAct::Busy(process(0)?),
+        "down" => FleetAct::Down(span(0)? as usize, span(1)?),
         "shut" => FleetAct::Shut(process(0)?, span(1)? as usize, span(2)?),
         _ => return Err(wrong("unknown")),
     })
@@ -463,6 +469,49 @@
     ]
 }
 
+/// Partners of all that are down and come back cold, under a limit that all share.
+pub fn returning() -> Vec<FleetScene> {
+    use FleetAct::*;
+    let p = PERIOD as f64;
+    let scene = |name: &str, acts| FleetScene {
+        limit: Some((40.0, Sharing::Rights)),
+        // As much as the limits of two destinations allow, an even part to each process.
+        rate: 16.0,
+        ..FleetScene::new(name, 5, acts)
+    };
+    let down = |at: f64| (at * p, Down(0, 10_000.0));
+    vec![
+        scene("a partner that is down for all", vec![down(30.0)]),
+        scene("down, and one after another is killed", {
+            let kills = (0..3).map(|n| (50.0 * p + 14.0 * p * f64::from(n), Kill(n as usize)));
+            let starts =
+                (0..3).map(|n| (60.0 * p + 14.0 * p * f64::from(n), Start(n as usize, Folder::Kept)));
+            let mut acts: Vec<_> = std::iter::once(down(30.0)).chain(kills).chain(starts).collect();
+            acts.sort_by(|a, b| a.0.total_cmp(&b.0));
+            acts
+        }),
+        scene("down, and some are stopped", {
+            vec![
+                down(30.0),
+                (45.0 * p, Stall(0, 30.0 * p)),
+                (60.0 * p, Stall(1, 50.0 * p)),
+                (120.0 * p, Heal),
+            ]
+        }),
+        scene("down, and the fleet is cut in two meanwhile", {
+            vec![down(30.0), (50.0 * p, Islands(vec![0, 0, 0, 1, 1])), (130.0 * p, Heal)]
+        }),
+        scene("down, and a tenth of all packets is lost", {
+            let lossy = super::relay::Weather { loss: 0.1, ..Default::default() };
+            vec![(10.0 * p, Weather(lossy)), down(30.0), (140.0 * p, Heal)]
+        }),
+        scene("one starts while a partner is down", {
+            vec![(10.0 * p, Kill(4)), down(30.0), (60.0 * p, Start(4, Folder::Emptied))]
+        }),
+        scene("both are down, one after the other", vec![down(30.0), (60.0 * p, Down(1, 8000.0))]),
+    ]
+}
+
 /// One starts without its folder while nobody hears it; when they do, the number that it must speak under can't be
 /// written for a while.
 fn no_disk(p: f64) -> Vec<(f64, FleetAct)> {
--- a/crates/rig/src/fleet/stage.rs
+++ b/crates/rig/src/fleet/stage.rs
@@ -228,14 +228,17 @@
             |n: &usize| format!("{indent}member \"n{n}\" address=\"{}\" zone=\"z{}\"\n", at(*n), n % 3);
         of.iter().map(line).collect()
     };
-    let mut text = format!("fleet version={} period-ms={period} loopback=#true {{\n", names.version);
+    // Where each goes by its own, that is so of outages too. Builds that know nothing of them are not told.
+    let apart = names.limit.is_some_and(|(_, way)| way != Sharing::Rights);
+    let returns = if apart { " returns=#false" } else { "" };
+    let mut text = format!("fleet version={} period-ms={period} loopback=#true{returns} {{\n", names.version);
     text += &members("    ", &names.now);
     if !names.before.is_empty() {
         text += &format!("    before {{\n{}    }}\n", members("        ", &names.before));
     }
     if let Some((calls, way)) = names.limit.filter(|(_, way)| *way != Sharing::Alone) {
         for dest in [FIRST_DEST, FIRST_DEST + 1] {
-            text += &format!("    limit {dest} calls={calls:.3} lend=#{}\n", way == Sharing::Rights);
+            text += &format!("    limit {dest} calls={calls:.3} lend=#{}\n", way != Sharing::Even);
         }
     }
     text + "}\n"
--- a/crates/rig/src/scratch.rs
+++ b/crates/rig/src/scratch.rs
@@ -183,9 +183,10 @@
     pub fn attack(&self, bug: Bug) -> Result<Option<String>, ScratchError> {
         let program = self.folder.join("bin").join(format!("attack-{}", bug.name()));
         self.cargo(bug.name(), "yarrowhill-attack", "attack", &program)?;
-        let schedules: &[&str] = match bug.is_of_rights() {
-            true => &["rights", "--seeds", "200", "--sizes", "3"],
-            false => &["schedules", "--seeds", "200"],
+        let schedules: &[&str] = match bug {
+            _ if bug.is_of_rights() => &["rights", "--seeds", "200", "--sizes", "3"],
+            _ if bug.is_of_returns() => &["returns", "--seeds", "60", "--sizes", "3"],
+            _ => &["schedules", "--seeds", "200"],
         };
         for args in [schedules, &["search"]] {
             let done = Command::new(&program).args(args).output().map_err(at(&program))?;
--- a/crates/rig/tests/fleet.rs
+++ b/crates/rig/tests/fleet.rs
@@ -3,7 +3,9 @@
 //! More by command: `rig fleet --directed`, `rig fleet --seeds 200`.
 
 use std::path::Path;
-use yarrowhill_rig::{FleetPlayed, FleetScene, Scratch, ScratchError, directed, limited, play_scenes};
+use yarrowhill_rig::{
+    FleetPlayed, FleetScene, Scratch, ScratchError, directed, limited, play_scenes, returning,
+};
 
 const SEEDS: u64 = 30;
 /// Seeds under a limit that all share.
@@ -15,7 +17,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn what_processes_believe_and_do_holds_under_faults() {
     let program = Path::new(env!("CARGO_BIN_EXE_yarrowhill-faulty"));
-    let mut scenes = [directed(), limited()].concat();
+    let mut scenes = [directed(), limited(), returning()].concat();
     scenes.extend((0..SEEDS).map(FleetScene::draw));
     scenes.extend((0..LIMITED).map(FleetScene::draw_limited));
     let count = scenes.len();
--- a/crates/rights/src/lib.rs
+++ b/crates/rights/src/lib.rs
@@ -62,7 +62,7 @@
 pub use keeper::Keeper;
 pub use meter::Meter;
 pub use plan::water_fill;
-pub use sharing::{Letter, Limit, LimitStatus, Refusals, Sharing, WORDS_MOST, Word};
+pub use sharing::{Letter, Limit, LimitStatus, Refusals, Sharing, WORDS_MOST, Word, further_attempts};
 pub use spans::{Micros, Spans};
 pub use tokens::Tokens;
 
--- a/crates/rights/src/sharing.rs
+++ b/crates/rights/src/sharing.rs
@@ -72,6 +72,9 @@
     pub limit: u64,
     /// Calls a second, for all together.
     pub calls: f64,
+    /// Which part of its right may be used: less while a destination that was down gets warm.
+    #[serde(default = "whole")]
+    pub part: f64,
     /// What this member may send now, its floor, what of it is lent, what is borrowed (calls a second).
     pub right: f64,
     /// Its even part.
@@ -94,6 +97,15 @@
     pub keeps: Option<[f64; 2]>,
 }
 
+fn whole() -> f64 {
+    1.0
+}
+
+/// The number of the limit on attempts beyond the first to a destination, beside that on all of its calls.
+pub fn further_attempts(dest: u64) -> u64 {
+    dest | 1 << 63
+}
+
 #[derive(Clone, Debug)]
 struct Share {
     limit: Limit,
@@ -103,6 +115,8 @@
     /// The keepers' last questions.
     asks: BTreeMap<u64, Micros>,
     keeper: Option<u64>,
+    /// Which part of its right it may use: less while a destination that was down gets warm.
+    part: f64,
     /// What was lent or granted before is not known here: since when that has been so.
     since: Micros,
     begun: u64,
@@ -122,7 +136,8 @@
     }
 
     fn right(&self, now: Micros) -> u64 {
-        self.calls_of(self.holder.right(now))
+        let right = self.calls_of(self.holder.right(now));
+        if self.part < 1.0 { (right as f64 * self.part) as u64 } else { right }
     }
 }
 
@@ -190,6 +205,7 @@
                 meter: Meter::new(now, spans.round() * HALF_ROUNDS),
                 asks: BTreeMap::new(),
                 keeper: None,
+                part: 1.0,
                 begun: 0,
                 held: 0,
             };
@@ -199,29 +215,50 @@
         }
     }
 
-    /// Whether a call under a limit may begin now; else after how long it is to ask again (microseconds). To be asked at
-    /// the last step before its first byte, with the clock read then. `again`: the call was held back before.
+    /// Whether a call may begin now by all the limits that it is under; else after how long it is to ask again
+    /// (microseconds). `part` of 1 of each right may be used. To be asked at the last step before its first byte, with the
+    /// clock read then. `again`: the call was held back before.
     ///
     /// # Errors
     ///
-    /// It is to be held back.
-    pub fn begin(&mut self, now: Micros, limit: u64, again: bool) -> Result<(), Micros> {
+    /// It is to be held back; then nothing is taken of any limit.
+    pub fn begin(&mut self, now: Micros, limits: &[u64], part: f64, again: bool) -> Result<(), Micros> {
         let round = self.spans.round();
-        let Some(share) = self.shares.get_mut(&limit) else { return Ok(()) };
-        if !again {
-            share.meter.asked(now);
+        let mut wait = None;
+        for limit in limits {
+            let Some(share) = self.shares.get_mut(limit) else { continue };
+            if !again {
+                share.meter.asked(now);
+            }
+            share.part = part.clamp(0.0, 1.0);
+            let right = share.right(now);
+            share.tokens.look(now, right);
+            if !share.tokens.has() {
+                // Rights move within a round: it asks again by then, however long its own right would take.
+                let at = share.tokens.next().unwrap_or(Micros::MAX);
+                let longer = at.saturating_sub(now).clamp(1, round);
+                wait = Some(wait.map_or(longer, |wait: Micros| wait.max(longer)));
+                share.held += u64::from(!again);
+                self.hurry |= !again;
+            }
+        }
+        if let Some(wait) = wait {
+            return Err(wait);
         }
-        let right = share.right(now);
-        share.tokens.look(now, right);
-        if share.tokens.take() {
-            share.begun += 1;
-            return Ok(());
+        for limit in limits {
+            if let Some(share) = self.shares.get_mut(limit) {
+                share.begun += u64::from(share.tokens.take());
+            }
+        }
+        Ok(())
+    }
+
+    /// A call wants to begin and is held back for another reason: what it would use is demand all the same, or the right would
+    /// be lent away by the time it may.
+    pub fn asked(&mut self, now: Micros, limits: &[u64]) {
+        for limit in limits {
+            self.shares.get_mut(limit).into_iter().for_each(|share| share.meter.asked(now));
         }
-        share.held += u64::from(!again);
-        self.hurry |= !again;
-        // Rights move within a round: it asks again by then, however long its own right would take.
-        let at = share.tokens.next().unwrap_or(Micros::MAX);
-        Err(at.saturating_sub(now).clamp(1, round))
     }
 
     /// When [`Sharing::tick`] is to be called.
@@ -325,6 +362,7 @@
             LimitStatus {
                 limit: *limit,
                 calls: share.limit.calls as f64 / CALL as f64,
+                part: share.part,
                 right: calls(share.holder.right(now)),
                 floor: calls(share.holder.floor()),
                 lent: calls(share.holder.lent(now)),
@@ -371,7 +409,7 @@
             *now += 1000;
             for n in 0..2 {
                 if rates[n] > 0 && (*now).is_multiple_of(1_000_000 / rates[n]) {
-                    begun[n] += u64::from(members[n].begin(*now, LIMIT, false).is_ok());
+                    begun[n] += u64::from(members[n].begin(*now, &[LIMIT], 1.0, false).is_ok());
                 }
                 for (to, letter) in members[n].tick(*now, &view) {
                     let to = (to - 1) as usize;
@@ -423,6 +461,33 @@
         assert!(busy <= 12, "{busy}");
     }
 
+    /// A call under two limits takes of both or of none, and a part of a right is a part of its calls.
+    #[test]
+    fn a_call_under_two_limits_takes_of_both_or_of_none() {
+        let spans = Spans::new(200_000, 0.01);
+        let mut now = 1_000_000_000;
+        let further = further_attempts(LIMIT);
+        let limit = |calls| Limit { calls: calls * CALL, lend: false };
+        let mut one = Sharing::new(now, 1, 77, 1, spans);
+        one.set(now, 1, &BTreeMap::from([(LIMIT, limit(100)), (further, limit(5))]));
+        now += 10_000_000;
+        let mut begun = [0, 0];
+        for n in 0..20_000u64 {
+            now += 1000;
+            begun[0] += u64::from(one.begin(now, &[LIMIT, further], 1.0, false).is_ok());
+            begun[1] += u64::from(n % 2 == 0 && one.begin(now, &[LIMIT], 1.0, false).is_ok());
+        }
+        assert!((95..=105).contains(&begun[0]), "{begun:?}");
+        assert!((1880..=2010).contains(&(begun[0] + begun[1])), "{begun:?}");
+        let before = now;
+        let mut cold = 0;
+        while now < before + 10_000_000 {
+            now += 1000;
+            cold += u64::from(one.begin(now, &[LIMIT], 0.2, false).is_ok());
+        }
+        assert!((195..=212).contains(&cold), "{cold}");
+    }
+
     #[test]
     fn words_of_another_life_and_of_more_than_there_is_count_for_nothing() {
         let (mut members, mut now) = two(100);
--- a/crates/rights/src/tokens.rs
+++ b/crates/rights/src/tokens.rs
@@ -33,9 +33,14 @@
         (self.filled, self.right) = (self.filled.max(now), right);
     }
 
+    /// Whether there is a call to take.
+    pub fn has(&self) -> bool {
+        self.held >= WHOLE
+    }
+
     /// Takes a call if there is one.
     pub fn take(&mut self) -> bool {
-        let there = self.held >= WHOLE;
+        let there = self.has();
         if there {
             self.held -= WHOLE;
         }
--- a/crates/yarrowhill/src/members.rs
+++ b/crates/yarrowhill/src/members.rs
@@ -7,8 +7,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc::Sender;
-use yarrowhill_engine::{Gate, Input};
-use yarrowhill_fleet::{Document, Handle, Node, Options, read, serve};
+use yarrowhill_engine::{CallWent, Gate, Input};
+use yarrowhill_fleet::{Document, Ended, Handle, Node, Options, Ramp, read, serve};
 use yarrowhill_policy::api::DestId;
 
 /// The control socket's name in the state folder.
@@ -35,18 +35,20 @@
         self.handle.permits().send_on
     }
 
-    fn begin(&self, dest: DestId, again: bool) -> Result<(), Duration> {
-        self.handle.begin(dest, again)
+    fn begin(&self, dest: DestId, further: bool, again: bool) -> Result<(), Duration> {
+        self.handle.begin(dest, further, again)
     }
 
-    fn answered(&self, dest: DestId, took: Duration, wait: Option<Duration>, served: bool) {
-        // A short wait comes from a limit that others use up, and would make all give way in step; a long one from a shut
-        // door, which is one for all.
-        if let Some(wait) = wait.filter(|wait| *wait >= self.shut) {
-            self.handle.told_wait(dest, wait);
-        } else if served {
-            self.handle.served(dest, took);
-        }
+    fn ended(&self, dest: DestId, took: Duration, how: CallWent) {
+        let how = match how {
+            // A short wait comes from a limit that others use up, and would make all give way in step; a long one from a
+            // shut door, which is one for all.
+            CallWent::Wait(wait) if wait >= self.shut => return self.handle.told_wait(dest, wait),
+            CallWent::Wait(_) | CallWent::Refused => Ended::Refused,
+            CallWent::Served => Ended::Served,
+            CallWent::Failed => Ended::Failed,
+        };
+        self.handle.ended(dest, took, how);
     }
 
     fn may_take_on(&self) -> bool {
@@ -67,7 +69,8 @@
     pub(crate) async fn join(config: &Config) -> Result<Option<Self>, RunError> {
         let Some((name, path)) = &config.member else { return Ok(None) };
         let document = document(path, name)?;
-        let options = Options { name, document, state: &config.state, seed: config.seed };
+        let ramp = document.returns.then(|| ramp(config, &document));
+        let options = Options { name, document, state: &config.state, seed: config.seed, ramp };
         let node = Node::start(options).await.map_err(|e| RunError::Fleet(e.to_string()))?;
         let handle = node.handle();
         let told = handle.clone();
@@ -129,6 +132,15 @@
     }
 }
 
+/// How destinations come back, by the settings. One tries so often that a call and the word of it have had their time: within
+/// the shortest aim, or two probe periods.
+fn ramp(config: &Config, document: &Document) -> Ramp {
+    let settings = &config.settings;
+    let aims = settings.classes.iter().map(|class| class.aim.unsigned_abs()).filter(|aim| *aim > 0);
+    let turn = aims.min().unwrap_or(0).max(document.timing.period * 2);
+    Ramp { turn, warm: settings.warm_after.unsigned_abs(), start: settings.start_capacity }
+}
+
 fn document(path: &Path, name: &str) -> Result<Document, RunError> {
     let text =
         std::fs::read_to_string(path).map_err(|e| RunError::Fleet(format!("{}: {e}", path.display())))?;
--- a/crates/yarrowhill/src/operate.rs
+++ b/crates/yarrowhill/src/operate.rs
@@ -6,7 +6,8 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 use yarrowhill_fleet::{
-    KnowledgeStatus, LimitStatus, LimitsStatus, MemberStatus, NamedKnown, NamedLimit, Refusals, Status, ask,
+    KnowledgeStatus, LimitStatus, LimitsStatus, MemberStatus, NamedKnown, NamedLimit, NamedOutage, Refusals,
+    Status, ask,
 };
 
 /// Between two looks of `--watch`.
@@ -53,6 +54,21 @@
     if status.waits.is_empty() {
         text.push_str("no destination told anybody to wait\n");
     }
+    for NamedOutage { outage, found_names, tries_name } in &status.outages {
+        let since = outage.since as f64 / 1e6;
+        let _ = match outage.part {
+            0.0 => writeln!(
+                text,
+                "{:>11} is down for {since:.1} s, found by {}; {} tries",
+                outage.dest,
+                found_names.join(", "),
+                tries_name.as_deref().unwrap_or("whoever has calls")
+            ),
+            part => {
+                writeln!(text, "{:>11} is back for {since:.1} s: {part:.2} of its limit now", outage.dest)
+            }
+        };
+    }
     if status.newcomer {
         text.push_str("has just started: nobody has told it yet what holds\n");
     }
@@ -72,9 +88,21 @@
                 serde_json::from_value(ask(socket, "knowledge", Value::Null).await?)?;
             let limit = limits.limits.iter().find(|named| named.limit.limit == dest);
             let waits: Vec<&NamedKnown> = known.waits.iter().filter(|w| w.known.dest == dest).collect();
+            let outage = known.outages.iter().find(|o| o.outage.dest == dest);
             if json {
-                println!("{}", serde_json::json!({"dest": dest, "limit": limit, "waits": waits}));
+                println!(
+                    "{}",
+                    serde_json::json!({"dest": dest, "limit": limit, "waits": waits, "outage": outage})
+                );
             } else {
+                if let Some(NamedOutage { outage, tries_name, .. }) = outage {
+                    match (outage.part, tries_name.as_deref().unwrap_or("whoever has calls")) {
+                        (0.0, tries) => {
+                            println!("{dest}: down; {tries} tries, and the others go by its word")
+                        }
+                        (part, _) => println!("{dest}: back, and getting warm: {part:.2} of its limit now"),
+                    }
+                }
                 print!("{}", reasons(dest, limit, &waits));
             }
             if !watch {
