Let one member hold a duty at a time: registers, leases, election, tokens

Need: some work must be done by one forwarder and by none twice, and a holder that stalls and wakes must not go on as if nothing had happened.

The change: the package 'duties' (no I/O, no clock): a register for each duty that a majority of the roster's voters decides (Paxos, one value written again and again), held under a lease counted from the question, with a token that only grows and the state of the work, which goes with the term; a voter that may have forgotten is silent first and then learns. 'fleet' drives it, registers on disk before they are told; 'yarrowhill duties', 'yield' and 'pin'. The attack: schedules, a small world, figures. The rig: scenes with duties, emptied and old folders of registers, a rule of the checker on claims and tokens, two planted bugs.

Found by the schedules and mended before this lands: a promise that a full disk had not taken was told by the next word that changed nothing; what a voter learns came in parts of which the last counted for all; an old copy that was started twice before it met anybody was believed (others remember how often each voter wrote, and tell each other).

--- a/crates/attack/src/bin/attack.rs
+++ b/crates/attack/src/bin/attack.rs
@@ -4,8 +4,9 @@
 use hdrhistogram::Histogram;
 use std::process::ExitCode;
 use yarrowhill_attack::{
-    Even, IdentityWorld, RightsWorld, Schedule, SupportWorld, Way, measure, measure_replaced, measure_return,
-    measure_rights, measure_shares, plain, play, play_return, play_rights,
+    DutyWorld, Ending, Even, IdentityWorld, RightsWorld, Schedule, SupportWorld, Way, measure,
+    measure_duties, measure_replaced, measure_return, measure_rights, measure_shares, plain, play,
+    play_duties, play_return, play_rights,
 };
 use yarrowhill_kernel::{Found, search};
 
@@ -47,6 +48,21 @@
         #[arg(long, value_delimiter = ',', default_value = "3,30,300")]
         sizes: Vec<usize>,
     },
+    /// Plays seeded faults over duties in virtual time, and searches small worlds of them.
+    Duties {
+        /// How many seeds.
+        #[arg(long, default_value_t = 1000)]
+        seeds: u64,
+        /// The first.
+        #[arg(long, default_value_t = 0)]
+        from: u64,
+        /// States at most of each small world; 0 leaves them out.
+        #[arg(long, default_value_t = 2_000_000)]
+        most: usize,
+        /// Members, to be measured.
+        #[arg(long, value_delimiter = ',')]
+        sizes: Vec<usize>,
+    },
     /// Plays a partner of all that is down and comes back, by seeds and as figures.
     Returns {
         /// How many seeds.
@@ -128,6 +144,38 @@
             println!("{seeds} schedules of rights, {} broken", broken.len());
             broken.is_empty()
         }
+        Command::Duties { seeds, from, most, sizes } => {
+            for size in sizes {
+                for ending in [Ending::Killed, Ending::Stopped, Ending::Cut, Ending::Asked] {
+                    let f = measure_duties(size, ending, 10, 1);
+                    let s = |q: f64| f.gap.value_at_quantile(q) as f64 / 1000.0;
+                    println!(
+                        "{size} members, {ending:?}: nobody holds it for {:.1} / {:.1} / {:.1} s; at rest {:.1} letters, {:.0} bytes a second over all",
+                        s(0.5),
+                        s(0.9),
+                        s(1.0),
+                        f.letters,
+                        f.bytes
+                    );
+                }
+            }
+            let plain = DutyWorld::default();
+            let worlds = [
+                ("holders slow, voters fast", plain),
+                ("holders fast, voters slow", DutyWorld { rates: [11, 9], ..plain }),
+                ("steps of progress", DutyWorld { steps: 1, restarts: 0, ..plain }),
+                ("an old word", DutyWorld { strays: 1, restarts: 0, renewals: 0, ..plain }),
+                ("a folder lost", DutyWorld { wipes: 1, restarts: 0, renewals: 0, ..plain }),
+            ];
+            let mut clean = true;
+            for (what, world) in worlds.into_iter().filter(|_| most > 0) {
+                clean &= told(&format!("duties, {what}"), &search(&world, most));
+            }
+            let broken = over_cores(from..from + seeds, |seed| play_duties(seed).err().map(|b| (seed, b)));
+            broken.iter().take(10).for_each(|(seed, b)| println!("seed {seed}: {b}"));
+            println!("{seeds} schedules of duties, {} broken", broken.len());
+            clean && broken.is_empty()
+        }
         Command::Returns { seeds, sizes } => {
             for size in sizes {
                 for way in [Way::Together, Way::Apart] {
@@ -164,27 +212,33 @@
     if clean { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
-/// Plays them on all cores.
 fn schedules(seeds: std::ops::Range<u64>) -> bool {
+    let count = seeds.end - seeds.start;
+    let broken = over_cores(seeds, |seed| play(&Schedule::draw(seed)).err().map(|b| (seed, b)));
+    broken.iter().take(20).for_each(|(seed, breach)| println!("seed {seed}: {breach}"));
+    println!("{count} schedules, {} broken", broken.len());
+    broken.is_empty()
+}
+
+/// Plays seeds on all cores; what was found, in the order of the seeds.
+fn over_cores<T: Send>(
+    seeds: std::ops::Range<u64>,
+    play: impl Fn(u64) -> Option<(u64, T)> + Sync,
+) -> Vec<(u64, T)> {
     let jobs = std::thread::available_parallelism().map_or(1, usize::from) as u64;
-    let share = |job: u64| seeds.clone().filter(move |seed| seed % jobs == job);
-    let mut broken = Vec::new();
+    let mut found = Vec::new();
+    let (seeds, play) = (&seeds, &play);
     std::thread::scope(|scope| {
-        let threads: Vec<_> = (0..jobs)
-            .map(|job| {
-                let own = share(job);
-                let play = |seed| play(&Schedule::draw(seed)).err().map(|b| (seed, b));
-                scope.spawn(move || own.filter_map(play).collect::<Vec<_>>())
-            })
-            .collect();
+        let run = |job| {
+            move || seeds.clone().filter(|seed| seed % jobs == job).filter_map(play).collect::<Vec<_>>()
+        };
+        let threads: Vec<_> = (0..jobs).map(|job| scope.spawn(run(job))).collect();
         for thread in threads {
-            broken.extend(thread.join().unwrap_or_default());
+            found.extend(thread.join().unwrap_or_default());
         }
     });
-    broken.sort_by_key(|(seed, _)| *seed);
-    broken.iter().take(20).for_each(|(seed, breach)| println!("seed {seed}: {breach}"));
-    println!("{} schedules, {} broken", seeds.end - seeds.start, broken.len());
-    broken.is_empty()
+    found.sort_by_key(|(seed, _)| *seed);
+    found
 }
 
 fn told<S: std::fmt::Debug>(what: &str, found: &Found<S>) -> bool {
--- a/crates/attack/src/lib.rs
+++ b/crates/attack/src/lib.rs
@@ -6,9 +6,11 @@
 //! - `worlds`: small worlds of the parts that safety rests on
 //! - `rights`: rights over a fleet: a small world, schedules, figures
 //! - `returns`: a partner of all that is down and comes back cold
+//! - `duties`: duties over a fleet: a small world, schedules, figures
 //! - `measure`: figures over many members
 //! - `shares`: what members make of a limit that they divide by who is there
 
+mod duties;
 mod measure;
 mod member;
 mod returns;
@@ -17,6 +19,7 @@
 mod shares;
 mod worlds;
 
+pub use duties::{DutyFigures, DutyStep, DutyWorld, Ending, measure_duties, play_duties};
 pub use measure::{Figures, Plain, measure, measure_replaced, plain};
 pub use member::{Folder, Msg, Seated, World, size};
 pub use returns::{ReturnFigures, Way, measure_return, play_return};
--- a/crates/checker/src/fleet.rs
+++ b/crates/checker/src/fleet.rs
@@ -2,6 +2,7 @@
 //! between them, and what each said of itself and of the others. Shares no code with membership; the table of what a
 //! standing allows is written a second time here.
 
+use crate::duties::Holds;
 use crate::returns::Cold;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -110,6 +111,8 @@
     },
     /// A process said this of itself.
     Told(Claim),
+    /// A process said that it holds a duty.
+    Holds(Holds),
     /// The other process under a name said this of itself.
     TwinTold(Claim),
 }
@@ -159,6 +162,8 @@
     pub shut: f64,
     /// once they have heard of it: after so long.
     pub heard: f64,
+    /// So many duties there are, and from then on each is held, since all is mended.
+    pub duties: (usize, f64),
     /// What holds of destinations that were down.
     pub cold: Cold,
     /// How late the rig's own clocks were.
@@ -191,6 +196,8 @@
     twins(terms, ledger, &mut breaches);
     waits(terms, ledger, &mut breaches);
     crate::returns::returns(terms, size, ledger, &mut breaches);
+    let (duties, last) = terms.duties;
+    crate::duties::duties(ledger, duties, last, &mut breaches);
     let reach = judge_reach(terms, ledger);
     // One whole call that each has saved up, and a tenth of a second of the limit; then how late the rig's clocks were.
     let allowed = size as f64 + reach.most * (0.1 + terms.slack / 1000.0) + 1.0;
@@ -551,6 +558,7 @@
             | FleetEvent::Began { .. }
             | FleetEvent::Limit { .. }
             | FleetEvent::Outage { .. }
+            | FleetEvent::Holds(_)
             | FleetEvent::Waits { .. }
             | FleetEvent::Written { .. } => {}
             event => {
@@ -609,6 +617,7 @@
         forgotten: 300.0,
         shut: 500.0,
         heard: 50.0,
+        duties: (0, 0.0),
         cold: Cold { found: 1000.0, start: 0.2, warm: 2000.0, tries: 400.0, late: 0.0 },
         slack: 0.0,
     };
--- a/crates/checker/src/lib.rs
+++ b/crates/checker/src/lib.rs
@@ -14,6 +14,7 @@
 //! ```
 
 mod accounts;
+mod duties;
 mod fleet;
 mod judge;
 mod ledger;
@@ -21,6 +22,7 @@
 mod rules;
 
 pub use accounts::{Account, accounts};
+pub use duties::{Holds, vacancies};
 pub use fleet::{Claim, FleetBreach, FleetEntry, FleetEvent, FleetTerms, Reach, judge_fleet, judge_reach};
 pub use judge::{Breach, Effect, Rule, Terms, judge};
 pub use ledger::{CallEnd, Entry, Event, Heard, Life, Standing};
--- a/crates/checker/src/returns.rs
+++ b/crates/checker/src/returns.rs
@@ -124,6 +124,7 @@
         forgotten: 300.0,
         shut: 500.0,
         heard: 50.0,
+        duties: (0, 0.0),
         cold: Cold { found: 1000.0, start: 0.2, warm: 2000.0, tries: 400.0, late: 0.0 },
         slack: 0.0,
     };
--- /dev/null
+++ b/crates/duties/src/lib.rs
@@ -0,0 +1,40 @@
+//! Work that one member of a fleet may do at a time, and none twice: for each duty a register that a majority of a few voters
+//! decides, held under a lease, with a token that only grows and the state of the work, which goes with the term. No I/O, no
+//! clock, no chance of its own: moments and letters come in, letters, writes and events go out. `docs/design-duties.md`
+//! weighs the options.
+//!
+//! **Theorem.** At no instant do two members hold a duty; tokens grow from term to term; and of two steps of progress that were
+//! decided the later holds all of the earlier.
+//!
+//! **Why.** A register is written under a ballot that a majority has promised (Paxos, with one value that is written again and
+//! again). A voter promises nobody else's ballot while a holder's lease runs, which it counts for `wide` since it accepted the
+//! last word; the holder counts `hold` since it asked for a word that a majority accepted, which was before. Two majorities
+//! share a voter, so the holder has stopped before anybody else can be promised. A ballot's number is above all that a
+//! majority had promised, so tokens grow. Whoever is promised hears the last accepted word from that shared voter, and goes on
+//! from there.
+//!
+//! **Assumptions.** Clock rates right within `drift`, on clocks that count stops. What was written is on disk, or the voter knows
+//! that it may not be (see `voter`), and fewer than a majority of voters lose it at a time. One of those that a voter hears when it
+//! starts remembers its last life, if it starts from an old copy of its folder. Majorities of rosters in force at a time meet, and
+//! each duty was written under one roster before the next comes. One process under a name.
+//!
+//! - `ballot`: who writes in which order, whose answers count, how long a term lasts
+//! - `register`: what stands at one voter; `voter`: when its word counts
+//! - `term`: what a holder writes; `seeker`: how a member comes to hold
+//! - `choice`: who should; `core`: all duties of a member
+
+mod ballot;
+mod choice;
+mod core;
+mod register;
+mod seeker;
+mod term;
+mod voter;
+
+pub use ballot::{Ballot, Electorate, Lease, Life, Micros};
+pub use choice::{Candidate, Duty, RANKS, ranks};
+pub use core::{Body, DUTIES_MOST, Duties, DutyStatus, Event, Held, Letter, Output, Wish, WishError};
+pub use register::{Accepted, Answer, Kept, PROGRESS_MOST, Post, Reason, Register, Ruling};
+pub use seeker::{Ask, Belief, Head, Seeker, Seen, Setting};
+pub use term::{Decided, StepError, Term, Write};
+pub use voter::{Standing, Stored, Vote, Voter};
--- a/crates/fleet/src/codec.rs
+++ b/crates/fleet/src/codec.rs
@@ -3,6 +3,7 @@
 
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use yarrowhill_duties as duties;
 use yarrowhill_knowledge::{Judgement, WaitWord};
 use yarrowhill_rights::Letter;
 
@@ -20,6 +21,8 @@
 const FINDINGS_MARK: [u8; 3] = *b"yj\x01";
 /// And one part of what one that has just started is told.
 const TOLD_MARK: [u8; 3] = *b"ya\x01";
+/// And a letter about duties.
+const DUTY_MARK: [u8; 3] = *b"yd\x01";
 /// Words of each kind in such a part.
 pub const TOLD_WORDS: usize = 12;
 /// Words in a packet of news or of findings: at their longest they fit.
@@ -140,6 +143,29 @@
     decode_behind(&TOLD_MARK, bytes, PACKET_MOST)
 }
 
+/// The bytes of a letter about duties.
+///
+/// # Errors
+///
+/// They are too long.
+pub fn encode_duty(letter: &duties::Letter) -> Result<Vec<u8>, CodecError> {
+    encode_behind(&DUTY_MARK, letter, PACKET_MOST)
+}
+
+/// Whether some bytes are about duties.
+pub fn is_duty(bytes: &[u8]) -> bool {
+    bytes.starts_with(&DUTY_MARK)
+}
+
+/// The letter about duties of some bytes, whatever they are.
+///
+/// # Errors
+///
+/// They are none.
+pub fn decode_duty(bytes: &[u8]) -> Result<duties::Letter, CodecError> {
+    decode_behind(&DUTY_MARK, bytes, PACKET_MOST)
+}
+
 /// Whether some bytes are findings.
 pub fn is_findings(bytes: &[u8]) -> bool {
     bytes.starts_with(&FINDINGS_MARK)
@@ -258,6 +284,25 @@
         assert_eq!(told.iter().map(|t| t.waits.len()).sum::<usize>(), 30);
         assert_eq!(decode_told(&encode_told(&told[0]).expect("fits")), Ok(told[0].clone()));
         assert_eq!(Told::parts(&[], &[]).len(), 1);
+        let life = duties::Life { member: most, life: most };
+        let ballot = duties::Ballot { number: most, by: life };
+        let post = duties::Post {
+            holder: Some(life),
+            token: most,
+            reason: duties::Reason::Pinned,
+            pinned: Some(most),
+            step: most,
+            progress: vec![255; duties::PROGRESS_MOST],
+        };
+        let accepted = Some(duties::Accepted { ballot, seq: most, post });
+        let register = Some(duties::Register { promised: ballot, accepted });
+        let of = duties::Standing { votes: true, fresh: true };
+        let remembers = (Some((most, most)), most);
+        let body = duties::Body::Recalled { nonce: most, of, remembers, register, part: (254, 255) };
+        let letter = duties::Letter { from: life, duty: most, body };
+        let bytes = encode_duty(&letter).expect("fits");
+        assert!(is_duty(&bytes) && !is_letter(&bytes));
+        assert_eq!(decode_duty(&bytes), Ok(letter));
     }
 
     proptest! {
--- a/crates/fleet/src/document.rs
+++ b/crates/fleet/src/document.rs
@@ -15,6 +15,7 @@
 use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
+use yarrowhill_duties::{DUTIES_MOST, Duty};
 use yarrowhill_membership::{MEMBERS_MOST, MemberId, Roster, Seat, Timing};
 use yarrowhill_rights::{CALL, Limit, further_attempts};
 
@@ -66,6 +67,8 @@
     pub limits: BTreeMap<u64, Limit>,
     /// Whether they tell each other of outages, and come back together.
     pub returns: bool,
+    /// Duties that one of them holds at a time.
+    pub duties: Vec<Duty>,
 }
 
 struct Reader<'a> {
@@ -136,6 +139,7 @@
         let loopback = self.flag(node, "loopback").unwrap_or(false);
         let returns = self.flag(node, "returns").unwrap_or(true);
         let (mut seats, mut before) = (Vec::new(), Vec::new());
+        let mut duties: Vec<Duty> = Vec::new();
         let (mut addresses, mut limits) = (BTreeMap::new(), BTreeMap::new());
         for child in node.children().map(KdlDocument::nodes).unwrap_or_default() {
             match child.name().value() {
@@ -147,9 +151,10 @@
                     }
                 }
                 "limit" => self.limit(child, &mut limits),
+                "duty" => self.duty(child, &mut duties),
                 other => {
                     let what = format!("unknown node {other:?}");
-                    self.fault(child.span().offset(), what, "member, before and limit are known");
+                    self.fault(child.span().offset(), what, "member, before, limit and duty are known");
                 }
             }
         }
@@ -177,7 +182,7 @@
         addresses.remove(&id);
         let mut timing = Timing::of(period * 1000);
         timing.confirm = self.flag(node, "confirm").unwrap_or(roster.len() <= CONFIRM_MOST);
-        Some(Document { roster, listen, addresses, timing, limits, returns })
+        Some(Document { roster, listen, addresses, timing, limits, returns, duties })
     }
 
     /// `limit 10 calls=60.0 further=6.0`: calls a second to a destination, for all together, and of these, attempts beyond the
@@ -216,6 +221,24 @@
         }
     }
 
+    /// `duty "bookkeeper" zone="riga"`: one of them holds it at a time, one of the zone before others.
+    fn duty(&mut self, node: &KdlNode, duties: &mut Vec<Duty>) {
+        self.known(node, &["zone"]);
+        let at = node.span().offset();
+        let name = node.get(0).and_then(KdlValue::as_string).filter(|n| !n.is_empty() && n.len() <= 64);
+        let Some(name) = name else {
+            return self.fault(at, "a duty without a name", "`duty \"NAME\"`, up to 64 bytes");
+        };
+        let zone = node.get("zone").and_then(KdlValue::as_string).map(str::to_owned);
+        if duties.iter().any(|duty| duty.name == name) {
+            self.fault(at, format!("a second duty {name:?}"), "each once");
+        } else if duties.len() >= DUTIES_MOST {
+            self.fault(at, "too many duties", format!("{DUTIES_MOST} are the most"));
+        } else {
+            duties.push(Duty { name: name.to_owned(), zone });
+        }
+    }
+
     fn member(
         &mut self,
         node: &KdlNode,
@@ -323,6 +346,18 @@
         assert!(told.iter().any(|f| f.starts_with("f:3:3:")), "{told:#?}");
     }
 
+    #[test]
+    fn duties_are_read_each_once() {
+        let text =
+            |duties: &str| format!("fleet version=1 {{ member \"n0\" address=\"127.0.0.1:7\"\n{duties}\n}}");
+        let sound = read("f", &text("duty \"a\" zone=\"z\"\nduty \"b\""), "n0").expect("sound");
+        assert_eq!(sound.duties, [Duty { name: "a".into(), zone: Some("z".into()) }, Duty::new("b")]);
+        let told = faults(&text("duty \"a\"\nduty \"a\" room=1\nduty"));
+        for part in ["a second duty", "unknown \"room\"", "without a name"] {
+            assert!(told.iter().any(|f| f.contains(part)), "{part}: {told:?}");
+        }
+    }
+
     #[test]
     fn limits_on_calls_and_on_further_attempts_are_two() {
         let text =
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,6 +5,7 @@
 //! - `clock`: the clock that counts stops
 //! - `identity`: the boot number in the folder
 //! - `codec`: packets as bytes
+//! - `registers`: what a voter keeps of duties in the folder
 //! - `node`: the task with the sockets
 //! - `status`, `control`: what is told, and the Unix socket where it is asked for
 
@@ -14,18 +15,23 @@
 mod document;
 mod identity;
 mod node;
+mod registers;
 mod status;
 
 pub use clock::now;
 pub use codec::{
-    CodecError, NEWS_WORDS, News, PACKET_MOST, TOLD_WORDS, Told, WHOLE_MOST, decode, decode_findings,
-    decode_letter, decode_news, decode_told, encode, encode_findings, encode_letter, encode_news,
-    encode_told, is_findings, is_letter, is_news, is_told,
+    CodecError, NEWS_WORDS, News, PACKET_MOST, TOLD_WORDS, Told, WHOLE_MOST, decode, decode_duty,
+    decode_findings, decode_letter, decode_news, decode_told, encode, encode_duty, encode_findings,
+    encode_letter, encode_news, encode_told, is_duty, is_findings, is_letter, is_news, is_told,
 };
 pub use control::{ControlError, ask, serve};
 pub use document::{Document, Fault, read};
 pub use identity::{IdentityError, IdentityFile};
 pub use node::{FleetError, Handle, Node, Options};
-pub use status::{KnowledgeStatus, LimitsStatus, MemberStatus, NamedKnown, NamedLimit, NamedOutage, Status};
+pub use status::{
+    DutiesStatus, KnowledgeStatus, LimitsStatus, MemberStatus, NamedDuty, NamedKnown, NamedLimit,
+    NamedOutage, Status,
+};
+pub use yarrowhill_duties::{Held, StepError, Vote, Wish, WishError};
 pub use yarrowhill_knowledge::{Ended, Ramp};
 pub use yarrowhill_rights::{LimitStatus, Refusals};
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -2,14 +2,15 @@
 
 use crate::clock;
 use crate::codec::{
-    NEWS_WORDS, News, PACKET_MOST, TOLD_WORDS, Told, WHOLE_MOST, decode, decode_findings, decode_letter,
-    decode_news, decode_told, encode, encode_findings, encode_letter, encode_news, encode_told, is_findings,
-    is_letter, is_news, is_told,
+    NEWS_WORDS, News, PACKET_MOST, TOLD_WORDS, Told, WHOLE_MOST, decode, decode_duty, decode_findings,
+    decode_letter, decode_news, decode_told, encode, encode_duty, encode_findings, encode_letter,
+    encode_news, encode_told, is_duty, is_findings, is_letter, is_news, is_told,
 };
 use crate::document::Document;
 use crate::identity::{IdentityError, IdentityFile};
-use crate::status::{KnowledgeStatus, LimitsStatus, Status};
-use std::collections::BTreeMap;
+use crate::registers::RegisterFile;
+use crate::status::{DutiesStatus, KnowledgeStatus, LimitsStatus, Status};
+use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -20,9 +21,13 @@
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::{Notify, Semaphore, watch};
 use tokio::time::{sleep, timeout};
+use yarrowhill_duties::{
+    self as duties, Candidate, Duties, Electorate, Held, Reason, StepError, Wish, WishError,
+};
 use yarrowhill_knowledge::{Ended, Judgement, Knowledge, Leave, Newcomer, Outages, Ramp, WaitWord};
 use yarrowhill_membership::{
-    Event, Life, MemberId, Membership, Micros, Output, Packet, Permits, Roster, RosterError, Whole,
+    Event, Health, Life, MemberId, Membership, Micros, Output, Packet, Permits, Roster, RosterError,
+    Standing, Whole,
 };
 use yarrowhill_rights::{Letter, Sharing, Spans, further_attempts};
 
@@ -38,6 +43,8 @@
 const TOLD_PACKETS: usize = 8;
 /// Where outages are nobody's matter.
 const NO_RAMP: Ramp = Ramp { turn: 1, warm: 1, start: 1.0 };
+/// Terms whose end is remembered.
+const HISTORY_MOST: usize = 64;
 /// After a failure of a socket or of the disk.
 const PAUSE: Duration = Duration::from_millis(200);
 
@@ -78,6 +85,9 @@
     sharing: Mutex<Sharing>,
     knowledge: Mutex<Knowledge>,
     outages: Mutex<Outages>,
+    duties: Mutex<Duties>,
+    /// How terms went lately, by duty.
+    history: Mutex<VecDeque<(u64, String)>>,
     /// Whether outages are told on, and kept.
     judges: bool,
     /// It asks the others for what holds, until somebody has told it all.
@@ -189,6 +199,55 @@
         }
     }
 
+    fn duties(&self) -> MutexGuard<'_, Duties> {
+        self.0.duties.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A duty that this process holds at this moment, by the clock as it is read here: to be asked again at the last step
+    /// before an act. One under whose name another lives holds nothing.
+    pub fn held(&self, name: &str) -> Option<Held> {
+        let now = clock::now();
+        if matches!(self.core().standing(now), Standing::Doubled | Standing::Leaving) {
+            return None;
+        }
+        self.duties().held(now, duties::Duty::new(name).id())
+    }
+
+    /// Whether an act under a held duty may begin now, if it takes so long.
+    pub fn may(&self, held: &Held, takes: Duration) -> bool {
+        held.may(clock::now(), Micros::try_from(takes.as_micros()).unwrap_or(Micros::MAX))
+    }
+
+    /// What has been done so far under a held duty.
+    ///
+    /// # Errors
+    ///
+    /// It is not held under that token any more, the step before is not decided, or it is too long.
+    pub fn step(&self, held: &Held, progress: Vec<u8>) -> Result<u64, StepError> {
+        let step = self.duties().step(clock::now(), held, progress);
+        self.0.stir.notify_one();
+        step
+    }
+
+    /// An operator wants something of a duty. By name of the member, where one is meant.
+    ///
+    /// # Errors
+    ///
+    /// No such duty, nobody holds it, or the member is not there.
+    pub fn wish(&self, duty: &str, wish: Wish) -> Result<(), WishError> {
+        let told = self.duties().wish(clock::now(), duty, wish);
+        self.0.stir.notify_one();
+        told
+    }
+
+    /// How duties stand here.
+    pub fn duties_status(&self) -> DutiesStatus {
+        let (roster, now) = (self.roster(), clock::now());
+        let history = self.0.history.lock().unwrap_or_else(PoisonError::into_inner);
+        let history: Vec<(u64, String)> = history.iter().cloned().collect();
+        DutiesStatus::of(&self.duties(), now, &roster, &history)
+    }
+
     /// What is known of destinations.
     pub fn destinations(&self) -> KnowledgeStatus {
         let (roster, now) = (self.roster(), clock::now());
@@ -225,6 +284,7 @@
             core.change_roster(clock::now(), document.roster)?;
         }
         self.sharing().set(clock::now(), core.roster().len(), &document.limits);
+        self.duties().set_voters(clock::now(), electorate(core.roster()));
         *self.0.addresses.lock().unwrap_or_else(PoisonError::into_inner) = document.addresses;
         self.0.stir.notify_one();
         Ok(())
@@ -233,6 +293,7 @@
     /// The process is to end: the others hear it from itself.
     pub fn leave(&self) {
         self.core().leave(clock::now());
+        self.duties().give_all(clock::now(), Reason::Leaving);
         self.0.stir.notify_one();
     }
 
@@ -241,6 +302,41 @@
         self.core().roster().clone()
     }
 
+    /// One line for each change of a duty, and its place in the history.
+    fn duty_event(&self, event: &duties::Event) {
+        let name = |id: u64| {
+            let duties = self.duties();
+            duties
+                .duties()
+                .find(|(other, _)| *other == id)
+                .map_or("?".to_owned(), |(_, duty)| duty.name.clone())
+        };
+        let (duty, told) = match *event {
+            duties::Event::Took { duty, token, step } => {
+                (duty, format!("taken under token {token} after {step} steps"))
+            }
+            duties::Event::Lost { duty, token } => {
+                (duty, format!("lost under token {token}: its lease ended"))
+            }
+            duties::Event::Gave { duty, token, reason } => {
+                (duty, format!("given up under token {token}: {reason:?}"))
+            }
+            duties::Event::Step { .. } => return,
+            duties::Event::Votes => return tracing::info!("duties: this voter's word counts"),
+            duties::Event::Doubts => {
+                return tracing::warn!(
+                    "duties: this voter may have forgotten what it promised, and learns first"
+                );
+            }
+        };
+        tracing::info!(duty = name(duty), "duties: {told}");
+        let mut history = self.0.history.lock().unwrap_or_else(PoisonError::into_inner);
+        if history.len() >= HISTORY_MOST {
+            history.pop_front();
+        }
+        history.push_back((duty, told));
+    }
+
     fn address(&self, id: MemberId) -> Option<SocketAddr> {
         self.0.addresses.lock().unwrap_or_else(PoisonError::into_inner).get(&id).copied()
     }
@@ -262,6 +358,9 @@
     udp: UdpSocket,
     tcp: TcpListener,
     identity: IdentityFile,
+    registers: RegisterFile,
+    /// Of which view and permits the duties were told who is there.
+    there_of: Option<(yarrowhill_membership::ViewId, bool, usize)>,
     /// A boot that the disk has not taken yet, and when it is tried again.
     owed: Option<(u64, Micros)>,
     /// Between two rounds of news, and when the next one is due.
@@ -277,7 +376,7 @@
     /// The sockets or the folder can't be had, or the roster lacks this member.
     pub async fn start(options: Options<'_>) -> Result<Self, FleetError> {
         let Options { name, document, state, seed, ramp } = options;
-        let Document { roster, listen, addresses, timing, limits, returns: _ } = document;
+        let Document { roster, listen, addresses, timing, limits, duties, .. } = document;
         let failed = |e| FleetError::Socket(listen, e);
         let udp = UdpSocket::bind(listen).await.map_err(failed)?;
         let tcp = TcpListener::bind(listen).await.map_err(failed)?;
@@ -289,6 +388,10 @@
         let spans = Spans::new(timing.period, DRIFT);
         let mut sharing = Sharing::new(now, MemberId::of(name).0, life.0, members, spans);
         sharing.set(now, members, &limits);
+        let (registers, found) = RegisterFile::open(state);
+        let me = duties::Life { member: MemberId::of(name).0, life: life.0 };
+        let lease = duties::Lease::new(timing.lease, DRIFT);
+        let duties = Duties::new(now, me, boot, lease, found, duties, electorate(&roster));
         let core = Membership::new(now, roster, name, boot, life, timing, seed)?;
         let round = spans.round();
         let handle = Handle(Arc::new(Shared {
@@ -297,6 +400,8 @@
             knowledge: Mutex::new(Knowledge::new(MemberId::of(name).0, boot, seed ^ life.0)),
             outages: Mutex::new(Outages::new(MemberId::of(name).0, boot, ramp.unwrap_or(NO_RAMP))),
             judges: ramp.is_some(),
+            duties: Mutex::new(duties),
+            history: Mutex::default(),
             newcomer: Mutex::new(Newcomer::new(now + timing.settle_most)),
             addresses: Mutex::new(addresses),
             stir: Notify::new(),
@@ -304,7 +409,7 @@
             spoilt: AtomicU64::new(0),
             strangers: AtomicU64::new(0),
         }));
-        Ok(Node { handle, udp, tcp, identity, owed: None, round, next_news: 0 })
+        Ok(Node { handle, udp, tcp, identity, registers, there_of: None, owed: None, round, next_news: 0 })
     }
 
     /// For the rest of the process.
@@ -321,6 +426,7 @@
             self.carry_out().await;
             let wake = self.handle.core().next_wake().min(self.handle.sharing().next_wake());
             let wake = wake.min(if self.has_news() { self.next_news } else { Micros::MAX });
+            let wake = wake.min(self.handle.duties().next_wake());
             let wake = wake.min(self.owed.map_or(Micros::MAX, |(_, at)| at));
             let pause = Duration::from_micros(wake.saturating_sub(clock::now()));
             tokio::select! {
@@ -373,6 +479,12 @@
                 Err(_) => drop(self.handle.0.spoilt.fetch_add(1, Ordering::Relaxed)),
             };
         }
+        if is_duty(bytes) {
+            return match decode_duty(bytes) {
+                Ok(letter) => self.duty(id, letter),
+                Err(_) => drop(self.handle.0.spoilt.fetch_add(1, Ordering::Relaxed)),
+            };
+        }
         if is_told(bytes) {
             return match decode_told(bytes) {
                 Ok(told) => self.told(id, &told),
@@ -427,11 +539,101 @@
                 self.post(MemberId(to), &letter).await;
             }
         }
+        self.do_duties().await;
         self.tell_news().await;
         let senders = self.handle.core().senders(clock::now());
         self.handle.0.senders.send_if_modified(|s| std::mem::replace(s, senders) != senders);
     }
 
+    /// A letter about duties has come. What it wants is done when the loop turns.
+    fn duty(&self, from: MemberId, letter: duties::Letter) {
+        let now = clock::now();
+        if matches!(letter.body, duties::Body::Recall { .. }) {
+            // What is remembered of whoever starts.
+            let known = self.handle.core().member(from).map(|e| e.record);
+            if let Some(record) = known {
+                self.handle.duties().saw(from.0, record.inc.boot, record.life.0);
+            }
+        }
+        self.handle.duties().handle(now, from.0, letter);
+    }
+
+    /// Tells the duties who is there, and does what they want done: what is to be on disk first, and if it can't be, nothing that
+    /// stands behind it.
+    async fn do_duties(&mut self) {
+        self.tell_duties();
+        let now = clock::now();
+        if now >= self.handle.duties().next_wake() {
+            self.handle.duties().tick(now);
+        }
+        loop {
+            let outputs = self.handle.duties().outputs();
+            if outputs.is_empty() {
+                return;
+            }
+            let mut own = Vec::new();
+            for output in outputs {
+                match output {
+                    duties::Output::Write(stored) => {
+                        if let Err(e) = self.registers.write(&stored) {
+                            tracing::error!("duties: not on disk, and so not promised: {e}");
+                            break;
+                        }
+                        self.handle.duties().written();
+                    }
+                    duties::Output::Forget => {
+                        if let Err(e) = self.registers.forget() {
+                            tracing::error!(
+                                "duties: {e}; a further start would believe what this one doubts"
+                            );
+                        }
+                    }
+                    duties::Output::Send { to, letter } if MemberId(to) == self.handle.core().me() => {
+                        own.push(letter)
+                    }
+                    duties::Output::Send { to, letter } => self.send_duty(MemberId(to), &letter).await,
+                    duties::Output::Event(event) => self.handle.duty_event(&event),
+                }
+            }
+            for letter in own {
+                let me = letter.from.member;
+                self.handle.duties().handle(clock::now(), me, letter);
+            }
+        }
+    }
+
+    fn tell_duties(&mut self) {
+        let core = self.handle.core();
+        let now = clock::now();
+        let may = core.permits(now).hold_duty;
+        let view = core.view();
+        let poor = core.members().filter(|(_, e)| e.record.health == Health::Suspect).count();
+        let of = (view.id, may, poor);
+        if self.there_of == Some(of) {
+            return;
+        }
+        self.there_of = Some(of);
+        let roster = core.roster();
+        let zones: BTreeMap<MemberId, String> =
+            roster.members().map(|(id, s)| (id, s.zone.clone())).collect();
+        let candidate = |id: &MemberId| Candidate {
+            member: id.0,
+            zone: zones.get(id).cloned().unwrap_or_default(),
+            poor: core.member(*id).is_some_and(|e| e.record.health == Health::Suspect),
+        };
+        let there = view.members.keys().map(candidate).collect();
+        self.handle.duties().set_there(now, there, may);
+    }
+
+    async fn send_duty(&self, to: MemberId, letter: &duties::Letter) {
+        let Some(at) = self.handle.address(to) else { return };
+        match encode_duty(letter) {
+            // What the network does not take is lost, as on the way.
+            Ok(bytes) => drop(self.udp.send_to(&bytes, at).await),
+            Err(e) => tracing::error!("fleet: a letter about duties: {e}"),
+        }
+    }
+
     async fn send(&self, to: MemberId, packet: &Packet) {
         let Some(at) = self.handle.address(to) else { return };
         match encode(packet, PACKET_MOST) {
@@ -564,6 +766,11 @@
     }
 
     fn persist(&mut self, boot: u64) {
+        // Others know of a later life than its folder: what that promised as a voter stands nowhere here.
+        self.handle.duties().doubt(clock::now());
+        if let Err(e) = self.registers.forget() {
+            tracing::error!("duties: {e}; a further start would believe what this one doubts");
+        }
         match self.identity.write(boot) {
             Ok(()) => {
                 self.owed = None;
@@ -642,6 +849,13 @@
     decode(&bytes, WHOLE_MOST).map_err(io::Error::other)
 }
 
+/// Whose answers count of duties: the voters of the roster.
+fn electorate(roster: &Roster) -> Electorate {
+    let ids = |ids: Vec<MemberId>| ids.into_iter().map(|id| id.0).collect();
+    let (now, before) = roster.electorate();
+    Electorate { now: ids(now), before: before.map(ids) }
+}
+
 /// One line for each stable change.
 fn tell(handle: &Handle, event: &Event) {
     let roster = handle.roster();
--- a/crates/fleet/src/status.rs
+++ b/crates/fleet/src/status.rs
@@ -1,6 +1,7 @@
 //! What a forwarder tells of its fleet.
 
 use serde::{Deserialize, Serialize};
+use yarrowhill_duties::{Duties, DutyStatus, Vote};
 use yarrowhill_knowledge::{Knowledge, Known, Outage, Outages};
 use yarrowhill_membership::{Health, MemberId, Membership, Micros, Permits, Refused, Roster, Standing};
 use yarrowhill_rights::{LimitStatus, Refusals, Sharing};
@@ -163,6 +164,60 @@
     pub origin_name: Option<String>,
 }
 
+/// A duty as it stands here, with names.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct NamedDuty {
+    /// As it stands.
+    #[serde(flatten)]
+    pub duty: DutyStatus,
+    /// Who holds it.
+    pub holder_name: Option<String>,
+    /// To whom it is pinned.
+    pub pinned_name: Option<String>,
+    /// Who should hold it, in this order.
+    pub ranks_names: Vec<String>,
+    /// It is held by the one that tells this, until then (microseconds of `CLOCK_BOOTTIME`).
+    pub held_until: Option<Micros>,
+    /// How its terms went lately, as far as this member was told, the last one first.
+    pub history: Vec<String>,
+}
+
+/// What a forwarder tells of duties.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct DutiesStatus {
+    /// The form of this record.
+    pub version: u32,
+    /// When (microseconds of `CLOCK_BOOTTIME`).
+    pub at: Micros,
+    /// How its own vote stands.
+    pub vote: Vote,
+    /// Each duty.
+    pub duties: Vec<NamedDuty>,
+}
+
+impl DutiesStatus {
+    /// What a member knows at a moment; `history` by duty.
+    pub fn of(duties: &Duties, now: Micros, roster: &Roster, history: &[(u64, String)]) -> Self {
+        let name = |id: u64| roster.name(MemberId(id)).unwrap_or("?").to_owned();
+        let ids: std::collections::BTreeMap<String, u64> =
+            duties.duties().map(|(id, duty)| (duty.name.clone(), id)).collect();
+        let named = |duty: DutyStatus| {
+            let id = ids.get(&duty.name).copied().unwrap_or(0);
+            let told = history.iter().rev().filter(|(of, _)| *of == id).map(|(_, text)| text.clone());
+            NamedDuty {
+                holder_name: duty.holder.map(name),
+                pinned_name: duty.pinned.map(name),
+                ranks_names: duty.ranks.iter().map(|id| name(*id)).collect(),
+                held_until: duties.held(now, id).map(|held| held.until),
+                history: told.collect(),
+                duty,
+            }
+        };
+        let list = duties.status(now).into_iter().map(named).collect();
+        DutiesStatus { version: 1, at: now, vote: duties.vote_status(), duties: list }
+    }
+}
+
 /// How a destination stands that is not simply up, with names.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct NamedOutage {
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -140,6 +140,12 @@
         self.voters.iter().chain(before).copied()
     }
 
+    /// The voters, and while it changes by a joint step those of before.
+    pub fn electorate(&self) -> (Vec<MemberId>, Option<Vec<MemberId>>) {
+        let list = |of: &BTreeSet<MemberId>| of.iter().copied().collect();
+        (list(&self.voters), self.before.as_ref().map(list))
+    }
+
     /// Whether these are a majority of the voters; in a joint step, of the old and of the new.
     pub fn is_majority(&self, of: impl Fn(MemberId) -> bool) -> bool {
         let most = |voters: &BTreeSet<MemberId>| {
--- a/crates/rig/src/scratch.rs
+++ b/crates/rig/src/scratch.rs
@@ -185,6 +185,7 @@
         self.cargo(bug.name(), "yarrowhill-attack", "attack", &program)?;
         let schedules: &[&str] = match bug {
             _ if bug.is_of_rights() => &["rights", "--seeds", "200", "--sizes", "3"],
+            _ if bug.is_of_duties() => &["duties", "--seeds", "200", "--most", "300000"],
             _ if bug.is_of_returns() => &["returns", "--seeds", "60", "--sizes", "3"],
             _ => &["schedules", "--seeds", "200"],
         };
--- a/crates/yarrowhill/src/main.rs
+++ b/crates/yarrowhill/src/main.rs
@@ -45,6 +45,15 @@
         #[command(subcommand)]
         what: Shared,
     },
+    /// Work that one forwarder of a fleet does at a time: who does it, under which token, and for how long.
+    #[cfg(feature = "members")]
+    Duties {
+        #[command(subcommand)]
+        wish: Option<DutyWish>,
+        /// Whom to ask.
+        #[command(flatten)]
+        look: Look,
+    },
     /// Shows the forwarder at work between stand-ins on loopback, some of them failing, and accounts for every
     /// message.
     #[cfg(feature = "demo")]
@@ -79,6 +88,24 @@
     },
 }
 
+/// What is wanted of a duty.
+#[cfg(feature = "members")]
+#[derive(Subcommand)]
+enum DutyWish {
+    /// That its holder gives it up: another one takes it.
+    Yield {
+        /// The duty's name.
+        duty: String,
+    },
+    /// That a member holds it whenever it is there; without one, whoever follows from the rule.
+    Pin {
+        /// The duty's name.
+        duty: String,
+        /// The member's name.
+        member: Option<String>,
+    },
+}
+
 /// Whom to ask, and how to show what it says.
 #[cfg(feature = "members")]
 #[derive(clap::Args)]
@@ -136,6 +163,13 @@
         #[cfg(feature = "members")]
         Command::Members(look) => ask(look, operate::members),
         #[cfg(feature = "members")]
+        Command::Duties { wish: None, look } => ask(look, operate::duties),
+        #[cfg(feature = "members")]
+        Command::Duties { wish: Some(wish), look } => ask(look, |socket, _, _| match &wish {
+            DutyWish::Yield { duty } => operate::wish(socket, "duty-yield", duty, None),
+            DutyWish::Pin { duty, member } => operate::wish(socket, "duty-pin", duty, member.as_deref()),
+        }),
+        #[cfg(feature = "members")]
         Command::Fleet { what: Shared::Limits(look) } => ask(look, operate::limits),
         #[cfg(feature = "members")]
         Command::Fleet { what: Shared::Knowledge(look) } => ask(look, operate::knowledge),
--- a/crates/yarrowhill/src/members.rs
+++ b/crates/yarrowhill/src/members.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 use tokio::sync::mpsc::Sender;
 use yarrowhill_engine::{CallWent, Gate, Input};
-use yarrowhill_fleet::{Document, Ended, Handle, Node, Options, Ramp, read, serve};
+use yarrowhill_fleet::{Document, Ended, Handle, Node, Options, Ramp, Wish, read, serve};
 use yarrowhill_policy::api::DestId;
 
 /// The control socket's name in the state folder.
@@ -74,14 +74,23 @@
         let node = Node::start(options).await.map_err(|e| RunError::Fleet(e.to_string()))?;
         let handle = node.handle();
         let told = handle.clone();
-        let answer = move |what: String, _: Value| {
+        let answer = move |what: String, with: Value| {
             let told = told.clone();
             async move {
                 match what.as_str() {
                     "members" => serde_json::to_value(told.status()).map_err(|e| e.to_string()),
                     "limits" => serde_json::to_value(told.limits()).map_err(|e| e.to_string()),
                     "knowledge" => serde_json::to_value(told.destinations()).map_err(|e| e.to_string()),
-                    other => Err(format!("{other:?} is unknown; members, limits and knowledge are known")),
+                    "duties" => serde_json::to_value(told.duties_status()).map_err(|e| e.to_string()),
+                    "duty-yield" => wish(&told, &with, Wish::Yield),
+                    "duty-pin" => match with["member"].as_str().map(|name| member(&told, name)) {
+                        None => wish(&told, &with, Wish::Pin(None)),
+                        Some(Some(id)) => wish(&told, &with, Wish::Pin(Some(id))),
+                        Some(None) => Err(format!("{} is not a member", with["member"])),
+                    },
+                    other => {
+                        Err(format!("{other:?} is unknown; members, limits, knowledge and duties are known"))
+                    }
                 }
             }
         };
@@ -132,6 +141,17 @@
     }
 }
 
+/// The number of a member by its name.
+fn member(handle: &Handle, name: &str) -> Option<u64> {
+    handle.roster().members().find(|(_, seat)| seat.name == name).map(|(id, _)| id.0)
+}
+
+/// Passes on what an operator wants of a duty.
+fn wish(handle: &Handle, with: &Value, wish: Wish) -> Result<Value, String> {
+    let duty = with["duty"].as_str().ok_or("name the duty")?;
+    handle.wish(duty, wish).map(|()| Value::from("asked")).map_err(|e| e.to_string())
+}
+
 /// How destinations come back, by the settings. One tries so often that a call and the word of it have had their time: within
 /// the shortest aim, or two probe periods.
 fn ramp(config: &Config, document: &Document) -> Ramp {
--- a/crates/yarrowhill/src/operate.rs
+++ b/crates/yarrowhill/src/operate.rs
@@ -6,8 +6,8 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 use yarrowhill_fleet::{
-    KnowledgeStatus, LimitStatus, LimitsStatus, MemberStatus, NamedKnown, NamedLimit, NamedOutage, Refusals,
-    Status, ask,
+    DutiesStatus, KnowledgeStatus, LimitStatus, LimitsStatus, MemberStatus, NamedDuty, NamedKnown,
+    NamedLimit, NamedOutage, Refusals, Status, Vote, ask,
 };
 
 /// Between two looks of `--watch`.
@@ -33,6 +33,57 @@
     show(socket, "limits", watch, json, |told| Ok(limits_text(&serde_json::from_value(told)?)))
 }
 
+/// Shows duties, once or again and again.
+pub fn duties(socket: &Path, watch: bool, json: bool) -> Result<(), Box<dyn Error>> {
+    show(socket, "duties", watch, json, |told| Ok(duties_text(&serde_json::from_value(told)?)))
+}
+
+/// Passes on what an operator wants of a duty.
+pub fn wish(socket: &Path, what: &str, duty: &str, member: Option<&str>) -> Result<(), Box<dyn Error>> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let with = serde_json::json!({"duty": duty, "member": member});
+    runtime.block_on(ask(socket, what, with))?;
+    println!("{duty}: asked; `yarrowhill duties` tells what comes of it");
+    Ok(())
+}
+
+fn duties_text(status: &DutiesStatus) -> String {
+    let mut text = format!(
+        "{:24} {:16} {:>9} {:>8} {:>8} {:>6} {:16} next\n",
+        "duty", "holder", "token", "left", "known", "steps", "pinned to"
+    );
+    for NamedDuty { duty, holder_name, pinned_name, ranks_names, history, .. } in &status.duties {
+        let seconds = |ms: u64| ms as f64 / 1000.0;
+        let _ = writeln!(
+            text,
+            "{:24} {:16} {:>9} {:>6.1} s {:>6.1} s {:>6} {:16} {}",
+            duty.name,
+            holder_name.as_deref().unwrap_or("nobody"),
+            duty.token,
+            seconds(duty.left_ms),
+            seconds(duty.age_ms),
+            duty.step,
+            pinned_name.as_deref().unwrap_or("-"),
+            ranks_names.join(", ")
+        );
+        for told in history.iter().take(5) {
+            let _ = writeln!(text, "    {told}");
+        }
+    }
+    if status.duties.is_empty() {
+        text.push_str("the fleet's document names no duty\n");
+    }
+    let vote = match status.vote {
+        Vote::Votes => "its word counts",
+        Vote::Checks => "asks the others whether its folder is the last one",
+        Vote::Silent => "may have forgotten what it promised, and is silent for a while",
+        Vote::Learns => "may have forgotten what it promised, and learns from the others",
+        Vote::None => "no voter",
+    };
+    let _ = writeln!(text, "as a voter: {vote}");
+    text
+}
+
 /// Shows what is known of destinations, once or again and again.
 pub fn knowledge(socket: &Path, watch: bool, json: bool) -> Result<(), Box<dyn Error>> {
     show(socket, "knowledge", watch, json, |told| Ok(knowledge_text(&serde_json::from_value(told)?)))
