--- a/crates/attack/src/duties.rs
+++ b/crates/attack/src/duties.rs
@@ -872,7 +872,7 @@
             }
             let held = scene.holders(duty);
             if held.iter().any(|(n, _)| *n != holder) || now > since + 60 * HOLD {
-                gap.saturating_record((now - since) / 1000);
+                gap.record((now - since) / 1000).unwrap_or_else(|e| unreachable!("{e}"));
                 break;
             }
         }
