Tell those next in rank of a duty that is given up, and to whom it is pinned

Checked: all voters voted, no lease was left over.

The change: whoever gives a duty up tells those next in rank, with the pin; they look at once.

--- a/crates/duties/src/core.rs
+++ b/crates/duties/src/core.rs
@@ -70,6 +70,11 @@
     },
     /// To a holder, by an operator.
     Wish(Wish),
+    /// By one that gave a duty up, to those that should take it: they need not find that out.
+    Free {
+        /// To whom it is pinned.
+        pinned: Option<u64>,
+    },
 }
 
 /// What an operator wants of a duty.
@@ -473,6 +478,9 @@
                 }
             }
             Body::Wish(wish) if known => self.wished(now, duty, wish),
+            Body::Free { pinned } if known => {
+                self.seekers.get_mut(&duty).into_iter().for_each(|s| s.freed(now, pinned));
+            }
             _ => {}
         }
     }
@@ -527,6 +535,14 @@
             }
         }
         let step = seeker.term().and_then(|term| term.decided()).map_or(0, |post| post.step);
+        if told.iter().any(|d| matches!(d, Decided::Given(_))) {
+            let pinned = seeker.pinned();
+            let next = self.duties.get(&duty).map(|of| ranks(of, pinned, &self.there)).unwrap_or_default();
+            let me = self.me.member;
+            for to in next.into_iter().filter(|to| *to != me) {
+                self.send(to, duty, Body::Free { pinned });
+            }
+        }
         for decided in told {
             self.outputs.push(Output::Event(match decided {
                 Decided::Taken => Event::Took { duty, token, step },
@@ -610,7 +626,7 @@
 
     fn rank(&self, duty: u64) -> Option<usize> {
         let told = self.duties.get(&duty).filter(|_| self.may_seek)?;
-        let pinned = self.seekers.get(&duty).and_then(|s| s.belief().head).and_then(|head| head.pinned);
+        let pinned = self.seekers.get(&duty).and_then(Seeker::pinned);
         ranks(told, pinned, &self.there).iter().position(|id| *id == self.me.member)
     }
 
--- a/crates/duties/src/seeker.rs
+++ b/crates/duties/src/seeker.rs
@@ -80,6 +80,8 @@
     /// The highest number that it has heard of.
     highest: u64,
     belief: Belief,
+    /// To whom it is pinned, as was last told.
+    pinned: Option<u64>,
     /// Looks that came to nothing in a row.
     failed: u32,
 }
@@ -103,7 +105,15 @@
 impl Seeker {
     /// A member that starts, and looks soon.
     pub fn new(now: Micros, me: Life) -> Self {
-        Seeker { me, phase: Phase::Rest, next: now, highest: 0, belief: Belief::default(), failed: 0 }
+        Seeker {
+            me,
+            phase: Phase::Rest,
+            next: now,
+            highest: 0,
+            belief: Belief::default(),
+            pinned: None,
+            failed: 0,
+        }
     }
 
     /// Its term, if it has one.
@@ -130,6 +140,18 @@
         }
     }
 
+    /// To whom it is pinned, as far as is known.
+    pub fn pinned(&self) -> Option<u64> {
+        self.pinned
+    }
+
+    /// Its holder gave it up: whoever should take it looks at once.
+    pub fn freed(&mut self, now: Micros, pinned: Option<u64>) {
+        self.pinned = pinned;
+        (self.belief.until, self.failed) = (now, 0);
+        self.hurry(now);
+    }
+
     /// It is to look at once.
     pub fn hurry(&mut self, now: Micros) {
         self.next = self.next.min(now);
@@ -183,6 +205,7 @@
         let head = seen.values().filter_map(|s| s.head).max_by_key(|head| head.at);
         let left = seen.values().filter_map(|s| s.leased).map(|(_, left)| left).max().unwrap_or(0);
         self.belief = Belief { head, until: now + left, told: now };
+        self.pinned = head.and_then(|head| head.pinned);
         let Lease { hold, .. } = setting.lease;
         let Some(rank) = setting.rank else {
             self.failed = 0;
@@ -258,6 +281,7 @@
             return Vec::new();
         }
         let told = term.accepted(now, setting.lease, setting.voters, by, seq);
+        self.pinned = term.decided().and_then(|post| post.pinned);
         if told.contains(&Decided::Taken) {
             self.failed = 0;
         }
