Send all packets of the fleet by one way, and look at members only when they changed

Cause: seen on reading the change again. Six functions of node.rs each encoded, looked up an address and sent; the loop counted suspects over all members at each packet, also without duties; knowledge of outages kept an entry for every destination that was ever served (up to 10,000, walked at each round of news); the checker's tests held their terms twice.

The change: 'put' sends; duties are told of members when membership counts a change, and not at all where there are none; an entry that says nothing goes after as long as findings are believed, with a test; the terms stand once.

--- a/crates/checker/src/fleet.rs
+++ b/crates/checker/src/fleet.rs
@@ -581,6 +581,21 @@
     }
 }
 
+/// The terms of tests.
+#[cfg(test)]
+pub(crate) const TERMS: FleetTerms = FleetTerms {
+    known: 100.0,
+    known_few: 100.0,
+    agreed: 100.0,
+    settled: 50.0,
+    forgotten: 300.0,
+    shut: 500.0,
+    heard: 50.0,
+    duties: (0, 0.0),
+    cold: Cold { found: 1000.0, start: 0.2, warm: 2000.0, tries: 400.0, late: 0.0 },
+    slack: 0.0,
+};
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -609,19 +624,6 @@
         FleetEntry { at, event: FleetEvent::Told(claim) }
     }
 
-    const TERMS: FleetTerms = FleetTerms {
-        known: 100.0,
-        known_few: 100.0,
-        agreed: 100.0,
-        settled: 50.0,
-        forgotten: 300.0,
-        shut: 500.0,
-        heard: 50.0,
-        duties: (0, 0.0),
-        cold: Cold { found: 1000.0, start: 0.2, warm: 2000.0, tries: 400.0, late: 0.0 },
-        slack: 0.0,
-    };
-
     fn all_up(size: usize) -> Vec<FleetEntry> {
         (0..size).map(|n| FleetEntry { at: 0.0, event: FleetEvent::Started(n) }).collect()
     }
--- a/crates/checker/src/returns.rs
+++ b/crates/checker/src/returns.rs
@@ -114,20 +114,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::judge_fleet;
-
-    const TERMS: FleetTerms = FleetTerms {
-        known: 100.0,
-        known_few: 100.0,
-        agreed: 100.0,
-        settled: 50.0,
-        forgotten: 300.0,
-        shut: 500.0,
-        heard: 50.0,
-        duties: (0, 0.0),
-        cold: Cold { found: 1000.0, start: 0.2, warm: 2000.0, tries: 400.0, late: 0.0 },
-        slack: 0.0,
-    };
+    use crate::fleet::{TERMS, judge_fleet};
 
     fn ledger(calls: &[f64]) -> Vec<FleetEntry> {
         let outage = |at, back| FleetEntry { at, event: FleetEvent::Outage { dest: 7, back } };
--- a/crates/duties/src/core.rs
+++ b/crates/duties/src/core.rs
@@ -314,6 +314,11 @@
         }
     }
 
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.duties.is_empty()
+    }
+
     // ---- What it holds ----
 
     /// A duty that it holds at a moment. To be asked at the last step before an act, with the clock read then.
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -2,9 +2,9 @@
 
 use crate::clock;
 use crate::codec::{
-    NEWS_WORDS, News, PACKET_MOST, TOLD_WORDS, Told, WHOLE_MOST, decode, decode_duty, decode_findings,
-    decode_letter, decode_news, decode_told, encode, encode_duty, encode_findings, encode_letter,
-    encode_news, encode_told, is_duty, is_findings, is_letter, is_news, is_told,
+    CodecError, NEWS_WORDS, News, PACKET_MOST, TOLD_WORDS, Told, WHOLE_MOST, decode, decode_duty,
+    decode_findings, decode_letter, decode_news, decode_told, encode, encode_duty, encode_findings,
+    encode_letter, encode_news, encode_told, is_duty, is_findings, is_letter, is_news, is_told,
 };
 use crate::document::Document;
 use crate::identity::{IdentityError, IdentityFile};
@@ -360,7 +360,7 @@
     identity: IdentityFile,
     registers: RegisterFile,
     /// Of which view and permits the duties were told who is there.
-    there_of: Option<(yarrowhill_membership::ViewId, bool, usize)>,
+    there_of: Option<(yarrowhill_membership::ViewId, bool, u64)>,
     /// A boot that the disk has not taken yet, and when it is tried again.
     owed: Option<(u64, Micros)>,
     /// Between two rounds of news, and when the next one is due.
@@ -561,6 +561,9 @@
     /// Tells the duties who is there, and does what they want done: what is to be on disk first, and if it can't be, nothing that
     /// stands behind it.
     async fn do_duties(&mut self) {
+        if self.handle.duties().is_empty() {
+            return;
+        }
         self.tell_duties();
         let now = clock::now();
         if now >= self.handle.duties().next_wake() {
@@ -607,8 +610,7 @@
         let now = clock::now();
         let may = core.permits(now).hold_duty;
         let view = core.view();
-        let poor = core.members().filter(|(_, e)| e.record.health == Health::Suspect).count();
-        let of = (view.id, may, poor);
+        let of = (view.id, may, core.changes());
         if self.there_of == Some(of) {
             return;
         }
@@ -626,20 +628,19 @@
     }
 
     async fn send_duty(&self, to: MemberId, letter: &duties::Letter) {
-        let Some(at) = self.handle.address(to) else { return };
-        match encode_duty(letter) {
-            // What the network does not take is lost, as on the way.
-            Ok(bytes) => drop(self.udp.send_to(&bytes, at).await),
-            Err(e) => tracing::error!("fleet: a letter about duties: {e}"),
-        }
+        self.put(to, encode_duty(letter)).await;
     }
 
     async fn send(&self, to: MemberId, packet: &Packet) {
+        self.put(to, encode(packet, PACKET_MOST)).await;
+    }
+
+    /// Sends bytes to a member. What the network does not take is lost, as on the way.
+    async fn put(&self, to: MemberId, bytes: Result<Vec<u8>, CodecError>) {
         let Some(at) = self.handle.address(to) else { return };
-        match encode(packet, PACKET_MOST) {
-            // What the network does not take is lost, as on the way.
+        match bytes {
             Ok(bytes) => drop(self.udp.send_to(&bytes, at).await),
-            Err(e) => tracing::error!("fleet: a packet: {e}"),
+            Err(e) => tracing::error!("fleet: not sent: {e}"),
         }
     }
 
@@ -690,21 +691,11 @@
     }
 
     async fn send_findings(&self, to: MemberId, findings: &[Judgement]) {
-        let Some(at) = self.handle.address(to) else { return };
-        match encode_findings(findings) {
-            // What the network does not take is lost, as on the way.
-            Ok(bytes) => drop(self.udp.send_to(&bytes, at).await),
-            Err(e) => tracing::error!("fleet: findings: {e}"),
-        }
+        self.put(to, encode_findings(findings)).await;
     }
 
     async fn send_news(&self, to: MemberId, news: &News) {
-        let Some(at) = self.handle.address(to) else { return };
-        match encode_news(news) {
-            // What the network does not take is lost, as on the way.
-            Ok(bytes) => drop(self.udp.send_to(&bytes, at).await),
-            Err(e) => tracing::error!("fleet: news: {e}"),
-        }
+        self.put(to, encode_news(news)).await;
     }
 
     async fn news(&self, from: MemberId, news: &News) {
@@ -735,16 +726,11 @@
 
     /// Everything that holds, for one that has just started.
     async fn tell_all(&self, to: MemberId) {
-        let Some(at) = self.handle.address(to) else { return };
         let (now, most) = (clock::now(), TOLD_WORDS * TOLD_PACKETS);
         let waits = self.handle.knowledge().all(now, most);
         let findings = self.handle.outages().all(now, most);
         for part in Told::parts(&waits, &findings) {
-            match encode_told(&part) {
-                // What the network does not take is lost, as on the way.
-                Ok(bytes) => drop(self.udp.send_to(&bytes, at).await),
-                Err(e) => tracing::error!("fleet: what a newcomer is told: {e}"),
-            }
+            self.put(to, encode_told(&part)).await;
         }
         // A build that knows no parts takes any news for its answer.
         self.send_news(to, &News { hello: false, words: waits.into_iter().take(NEWS_WORDS).collect() }).await;
@@ -757,12 +743,7 @@
     }
 
     async fn post(&self, to: MemberId, letter: &Letter) {
-        let Some(at) = self.handle.address(to) else { return };
-        match encode_letter(letter) {
-            // What the network does not take is lost, as on the way.
-            Ok(bytes) => drop(self.udp.send_to(&bytes, at).await),
-            Err(e) => tracing::error!("fleet: a letter: {e}"),
-        }
+        self.put(to, encode_letter(letter)).await;
     }
 
     fn persist(&mut self, boot: u64) {
--- a/crates/knowledge/src/findings.rs
+++ b/crates/knowledge/src/findings.rs
@@ -97,6 +97,11 @@
         long.then_some(self.last)
     }
 
+    /// Whether the last calls failed.
+    pub(crate) fn fails(&self) -> bool {
+        self.failed > 0
+    }
+
     /// When the last call that was served began.
     pub(crate) fn served(&self) -> Option<Micros> {
         self.served
--- a/crates/knowledge/src/outages.rs
+++ b/crates/knowledge/src/outages.rs
@@ -30,7 +30,7 @@
 const PATIENCE_TURNS: u64 = 4;
 /// A word that one is back which is not costs its origin belief for so many turns, twice as many each time.
 const DISTRUST_TURNS: u64 = 32;
-/// Finding older than this are not believed (microseconds).
+/// Findings older than this are not believed (microseconds).
 const AGE_MOST: Micros = 600_000_000;
 /// To how many members a fresh word goes: in so many rounds, times the logarithm (base 2) of the fleet's size.
 const ROUNDS: f64 = 1.5;
@@ -410,6 +410,11 @@
                 kept.words.retain(|_, w| !old(w));
             }
         }
+        // Of one that is up, and about which nothing was heard, its last call outranks findings for as long as those are believed.
+        self.dests.retain(|_, kept| {
+            let served = kept.own.served().is_some_and(|at| now < at.saturating_add(AGE_MOST));
+            kept.stand != Stand::Up || !kept.words.is_empty() || kept.own.fails() || served
+        });
     }
 }
 
@@ -507,6 +512,16 @@
         assert!(mean < 24.0, "{mean} at once: {first:?}");
     }
 
+    #[test]
+    fn what_says_nothing_any_more_is_not_kept() {
+        let mut one = member(1, 5);
+        one.ended(100 * S, DEST, 99 * S, Ended::Served);
+        one.words(200 * S, 24, 5);
+        assert_eq!(one.dests.len(), 1, "its call may outrank what is heard later");
+        one.words(900 * S, 24, 5);
+        assert_eq!(one.dests.len(), 0);
+    }
+
     #[test]
     fn own_calls_outrank_what_others_found_and_one_cut_off_alone_harms_nobody() {
         let mut one = member(1, 5);
--- a/crates/membership/src/core.rs
+++ b/crates/membership/src/core.rs
@@ -224,6 +224,11 @@
         self.members.iter()
     }
 
+    /// Counts up whenever what it knows of anybody changes.
+    pub fn changes(&self) -> u64 {
+        self.members.changes()
+    }
+
     /// What it knows of another member.
     pub fn member(&self, id: MemberId) -> Option<&Entry> {
         self.members.get(id)
