End clients' connections without a reset: sending first, then read on for a bounded time

Cause: a connection was closed by dropping it (`make_room`, hyper's end, the listener's drop in `serve`). Over bytes that nobody has read that is a reset: behind "413" and behind the last answer of a connection the client saw EPIPE; connections in the accept queue at the shutdown saw ECONNRESET; a head half read at the shutdown was cut off, or held the end up for 2 s. Ruled out: the engine (each of these happens with a test in its place).

Change: `clients` owns the connections. Each ends by a shutdown of its sending, 300 ms of reading on, then the close. What is there when a connection is to end is served as its last request; half a head has 200 ms to come whole; the listener stays to the end and refuses what comes late. Idle clients give way first, also where the descriptors are used up. Those that have given way hold an eighth of the descriptors at most. Class and owner are read as the settings write them.

--- a/crates/http/src/heads.rs
+++ b/crates/http/src/heads.rs
@@ -43,6 +43,11 @@
         ambiguous
     }
 
+    /// A head has begun and has not come to its end.
+    pub(crate) fn is_within(&self) -> bool {
+        self.begun || !self.line.is_empty()
+    }
+
     fn end_line(&mut self) -> bool {
         let line = std::mem::take(&mut self.line);
         let line = line.strip_suffix(b"\r").unwrap_or(&line);
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -1,7 +1,8 @@
 //! HTTP/1.1 round the engine, as PROTOCOL describes it: clients' requests in, calls to endpoints out, the list of
 //! endpoints, and notices.
 //!
-//! - `intake`, `heads`: clients' requests, and which connections give way where descriptors run short
+//! - `intake`, `heads`: clients' requests
+//! - `clients`: their connections, which of them give way where descriptors run short, and how each ends
 //! - `watched`: a stream whose bytes are looked at before the parser has them
 //! - `connection`: one connection that this program opened, and that never resends
 //! - `calls`, `pool`: calls and their outcomes; the engine's transport
@@ -10,6 +11,7 @@
 //! What anybody may send is bounded: heads, bodies, answers, lists, and the time that each may take.
 
 mod calls;
+mod clients;
 mod connection;
 pub mod discovery;
 mod heads;
@@ -19,5 +21,6 @@
 mod refresh;
 mod watched;
 
-pub use intake::{Intake, serve};
+pub use clients::serve;
+pub use intake::Intake;
 pub use pool::Pool;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -15,6 +15,9 @@
 use serde_json::Value;
 use yarrowhill_policy::api::{Class, Decay, Effect, Kind, Micros, Report, Settings, Tenant, Weights};
 
+/// A connection that takes longer has failed, where the settings don't say when (microseconds).
+const CONNECT_TIMEOUT: Micros = 1_000_000;
+
 /// Settings by path.
 struct Conf<'a> {
     fields: Fields<'a>,
@@ -61,6 +64,11 @@
     pub report: Vec<String>,
 }
 
+/// A name as the settings have it: on the wire that they come from, spaces and commas set values apart.
+pub fn wire_name(name: &str) -> String {
+    name.replace([' ', ','], "_")
+}
+
 /// The number that goes with a name.
 pub fn index(names: &[String], name: &str) -> Option<usize> {
     names.iter().position(|n| n == name)
@@ -172,7 +180,7 @@
             _ => Weights::Off,
         },
         idle_close: c.time("limits.idleClose")?,
-        connect_timeout: c.time("limits.connectTimeout")?,
+        connect_timeout: c.fields.time("limits.connectTimeout")?.unwrap_or(CONNECT_TIMEOUT),
         round: c.time("round")?,
         fall_multiple: c.num("guarantees.fallMultiple", 1.0)?,
         overload_for: c.time("guarantees.overloadFor")?,
@@ -210,7 +218,7 @@
 }
 
 fn plain(value: &Value) -> String {
-    value.as_str().map_or_else(|| value.to_string(), |text| text.replace([' ', ','], "_"))
+    value.as_str().map_or_else(|| value.to_string(), wire_name)
 }
 
 #[cfg(test)]
