--- a/crates/engine/src/call.rs
+++ b/crates/engine/src/call.rs
@@ -37,6 +37,8 @@
     pub dest: DestId,
     /// The endpoint's address now.
     pub to: SocketAddr,
+    /// When it was decided on.
+    pub decided: Instant,
     /// The messages in it, at least one.
     pub items: Vec<Item>,
     /// Attempts of it may end while the call goes on. Else all end with the first that must: until its connection is
--- a/crates/engine/src/endpoints.rs
+++ b/crates/engine/src/endpoints.rs
@@ -7,6 +7,8 @@
 use yarrowhill_policy::api::{DestId, EndpointId, Entry, Event, Listing, Micros, Settings};
 use yarrowhill_settings::{Names, index};
 
+/// A list is no further behind another than this (microseconds): a lower version after that is another numbering.
+const BEHIND_MOST: Micros = 30_000_000;
 /// An endpoint that the list has lost keeps its number for so long (microseconds): listed again, it is the same.
 const GONE_KEPT: Micros = 30_000_000;
 
@@ -20,6 +22,12 @@
     pub(crate) batch: usize,
     /// Calls that are out.
     pub(crate) in_flight: usize,
+    /// Listed as in service.
+    pub(crate) serves: bool,
+    /// When it last started, as the list has it.
+    started: u64,
+    /// It was last told to drain or to be gone by this version of the list, then.
+    left: Option<(u64, Micros)>,
 }
 
 #[derive(Debug, Default)]
@@ -51,11 +59,15 @@
         transport: &mut impl Transport,
     ) -> Event {
         if list.all {
-            for id in self.known.keys() {
+            for (id, endpoint) in &mut self.known {
+                if std::mem::take(&mut endpoint.serves) {
+                    endpoint.left = Some((list.rev, now));
+                }
                 self.gone.entry(*id).or_insert(now);
             }
         }
-        let entries = list.lines.iter().map(|line| self.line(now, line, settings, names, transport));
+        let entries =
+            list.lines.iter().map(|line| self.line(now, list.rev, line, settings, names, transport));
         let entries: Vec<Entry> = entries.collect();
         self.gone.keys().for_each(|id| transport.endpoint(*id, None));
         self.forget(now);
@@ -65,6 +77,7 @@
     fn line(
         &mut self,
         now: Micros,
+        rev: u64,
         line: &EndpointLine,
         settings: &Settings,
         names: &Names,
@@ -82,12 +95,29 @@
             zone: line.zone.clone(),
             batch,
             in_flight: 0,
+            serves: false,
+            started: line.started,
+            left: None,
         };
         let known = self.known.entry(endpoint).or_insert_with(new);
         (known.dest, known.to, known.batch) = (line.dest, line.address, batch);
+        // Guards the rule on drains: where discovery has moved, or one of several answers, the new one may have fallen
+        // behind. What has drained is not in service again by an older word, unless it has started anew.
+        let older = known.left.is_some_and(|(left, at)| rev < left && now < at + BEHIND_MOST);
+        let state = match line.state {
+            State::InService if older && line.started <= known.started => State::Terminating,
+            state => state,
+        };
+        known.started = known.started.max(line.started);
+        known.serves = state == State::InService;
+        if known.serves {
+            known.left = None;
+        } else if !older {
+            known.left = Some((rev, now));
+        }
         // One that is to end wants no connections either.
-        transport.endpoint(endpoint, (line.state == State::InService).then_some(line.address));
-        if line.state == State::Terminated {
+        transport.endpoint(endpoint, known.serves.then_some(line.address));
+        if state == State::Terminated {
             self.gone.entry(endpoint).or_insert(now);
         } else {
             self.gone.remove(&endpoint);
@@ -97,7 +127,7 @@
             dest: line.dest,
             zone: index(&names.zones, &line.zone).unwrap_or(usize::MAX),
             kind,
-            listing: match line.state {
+            listing: match state {
                 State::InService => Listing::Serving,
                 State::Terminating => Listing::Draining,
                 State::Terminated => Listing::Deleted,
--- a/crates/engine/src/list.rs
+++ b/crates/engine/src/list.rs
@@ -34,6 +34,9 @@
     pub dest: u64,
     /// Where it stands.
     pub state: State,
+    /// When it last started (Unix ms); 0 for long ago.
+    #[serde(rename = "boot_ms", default)]
+    pub started: u64,
     /// The weight that the list gives it.
     #[serde(rename = "capacity_hint", default = "one")]
     pub weight: f64,
--- a/crates/engine/src/run.rs
+++ b/crates/engine/src/run.rs
@@ -7,7 +7,7 @@
 use tokio::sync::mpsc::Receiver;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// After SIGTERM new clients go on coming for so long;
 const SERVE: Duration = Duration::from_millis(400);
@@ -18,6 +18,8 @@
 const EXIT: Duration = Duration::from_millis(3500);
 /// How often the end is looked for.
 const CLOSING_STEP: Duration = Duration::from_millis(20);
+/// A turn that comes so much later than it was due comes after a stop of the process.
+const STOPPED: Duration = Duration::from_millis(100);
 /// Longest time between two turns.
 const LONGEST: Duration = Duration::from_secs(1);
 
@@ -46,11 +48,16 @@
     loop {
         let mut batch = Vec::new();
         let latest = Instant::now() + if closing.is_some() { CLOSING_STEP } else { LONGEST };
+        let due = engine.next_turn(latest).max(last + round);
         tokio::select! {
             Some(input) = inputs.recv() => batch.push(input),
-            () = sleep_until(engine.next_turn(latest)) => {}
+            () = sleep_until(due) => {}
         }
         sleep_until(last + round).await;
+        if due.elapsed() > STOPPED {
+            // What came meanwhile may be a drain or a wait: it is read before anything is decided.
+            sleep(round).await;
+        }
         while let Ok(input) = inputs.try_recv() {
             batch.push(input);
         }
--- a/crates/fuzz/src/target.rs
+++ b/crates/fuzz/src/target.rs
@@ -162,7 +162,16 @@
         let items: Vec<Item> = (0..items).map(item).collect();
         let mut left = items.len();
         let connect_timeout = Duration::from_secs(1);
-        let call = Call { endpoint: 1, dest: 10, to, items, second_copies: true, connect_timeout, orders };
+        let call = Call {
+            endpoint: 1,
+            dest: 10,
+            to,
+            decided: Instant::now(),
+            items,
+            second_copies: true,
+            connect_timeout,
+            orders,
+        };
         pool.start(call, results.clone());
         while left > 0 {
             let end = timeout(SOON, ends.recv()).await.expect("every attempt ends").expect("it is open");
--- a/crates/http/src/calls.rs
+++ b/crates/http/src/calls.rs
@@ -12,10 +12,9 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::pin::pin;
-#[cfg(feature = "gate")]
 use std::time::Duration;
 use tokio::sync::mpsc::Sender;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until};
 #[cfg(feature = "gate")]
 use yarrowhill_engine::CallWent;
 use yarrowhill_engine::{AttemptEnd, Call, CallEnd, Input, Item, Order};
@@ -25,6 +24,10 @@
 /// Longest that a call is held back with a slot and a connection before it goes back to the module.
 #[cfg(feature = "gate")]
 const HELD_MOST: Duration = Duration::from_millis(250);
+/// What takes so much longer than it should, takes it because the process was stopped.
+const STOPPED: Duration = Duration::from_millis(100);
+/// After that so much time is given to what came meanwhile: a drain or a wait is read before a byte leaves.
+const CATCH_UP: Duration = Duration::from_millis(30);
 /// Longest answer that is read.
 const ANSWER_MOST: usize = 64 << 10;
 /// Longest wait that is believed (ms): far longer than any that is meant, and one that was spoilt on its way does
@@ -41,25 +44,37 @@
     keep: impl FnOnce(Connection),
 ) {
     let waiting = std::mem::take(&mut call.items);
-    let mut pending = Pending { call, results, waiting, given_up: Vec::new(), late: false };
+    let mut pending =
+        Pending { call, results, waiting, given_up: Vec::new(), late: false, held: false, several: false };
     #[cfg(feature = "gate")]
     let mut began = Instant::now();
     let answer = loop {
         connection = connection.filter(Connection::is_open);
         let kept = connection.is_some();
-        if !kept {
-            let opening = Connection::open(pending.call.to, pending.call.connect_timeout);
+        pending.heed();
+        let stopped = if kept {
+            pending.call.decided.elapsed() > STOPPED
+        } else {
+            let opening = unstopped(Connection::open(pending.call.to, pending.call.connect_timeout));
             match pending.during(opening, Stage::Connecting).await {
-                Some(Ok(open)) => connection = Some(open),
-                Some(Err(_)) => break Some(Err(Silence::NeverRan)),
+                Some((Ok(open), stopped)) => {
+                    connection = Some(open);
+                    stopped
+                }
+                Some((Err(_), _)) => break Some(Err(Silence::NeverRan)),
                 // Nothing of it was written, and the socket is gone.
                 None => return pending.tell().await,
             }
+        };
+        if stopped && pending.during(sleep(CATCH_UP), Stage::Connecting).await.is_none() {
+            connection.map(keep);
+            return pending.tell().await;
         }
         #[cfg(feature = "gate")]
         pending.admit(&gate).await;
-        // However it came to be that late.
+        // However it came to be that late, and whatever was ordered in the very moment in which the connection came up.
         pending.expire(Stage::Connecting, Instant::now());
+        pending.heed();
         // The last look before a byte leaves: the process may have been stopped since this was decided.
         let request = request(&pending.waiting, pending.call.to).filter(|_| gate.may_send());
         let (Some(request), Some(open)) = (request, &mut connection) else {
@@ -76,9 +91,15 @@
         );
         #[cfg(feature = "gate")]
         (began = Instant::now());
-        match pending.during(exchange(open, request), Stage::Written).await {
-            // A connection that was kept has turned out to be of no use: the call opens another one.
-            Some(Err(Silence::Unwritten)) if kept => connection = None,
+        pending.several = pending.waiting.len() > 1;
+        let begin_by = pending.waiting.iter().map(|i| Stage::Connecting.ends(i)).min();
+        let exchange = exchange(open, request, begin_by);
+        match pending.during(exchange, Stage::Written).await {
+            // A connection that was kept has turned out to be of no use, or its first byte was too late for some: the
+            // call opens another one for what may still begin.
+            Some(Err(Silence::Unwritten)) if kept || begin_by.is_some_and(|by| by <= Instant::now()) => {
+                connection = None;
+            }
             answer => break answer,
         }
     };
@@ -88,16 +109,37 @@
     }
     let Some(answer) = answer else {
         if let Some(open) = connection.take() {
+            pending.reconsider(open.status());
             open.close().await;
         }
         return pending.tell().await;
     };
-    let whole = answer.as_ref().is_ok_and(|a| a.whole);
+    let whole = answer.as_ref().is_ok_and(|a| a.whole && !a.spoilt);
     connection.filter(|_| whole).map(keep);
     pending.given_up.extend(outcomes(&pending.waiting, &answer));
     pending.tell().await;
 }
 
+/// Waits for `work`, and tells whether the process was stopped just before it was done.
+async fn unstopped<T>(work: impl Future<Output = T>) -> (T, bool) {
+    let mut work = pin!(work);
+    let mut stop: Option<Instant> = None;
+    loop {
+        let since = Instant::now();
+        let done = tokio::select! {
+            biased;
+            done = &mut work => Some(done),
+            () = sleep(STOPPED / 2) => None,
+        };
+        if since.elapsed() > STOPPED {
+            stop = Some(Instant::now());
+        }
+        if let Some(done) = done {
+            return (done, stop.is_some_and(|at| at.elapsed() < CATCH_UP));
+        }
+    }
+}
+
 /// How far a call has come.
 #[derive(Clone, Copy, PartialEq)]
 enum Stage {
@@ -114,6 +156,10 @@
     given_up: Vec<AttemptEnd>,
     /// One of them was written and had no answer in its time.
     late: bool,
+    /// Nothing of it that is not written yet may be.
+    held: bool,
+    /// What was written last was for several messages.
+    several: bool,
 }
 
 impl Pending {
@@ -123,18 +169,11 @@
         loop {
             let until = self.waiting.iter().map(|i| stage.ends(i)).min()?;
             tokio::select! {
+                // What has come counts, also where its time is up by now: the process may have stood still.
+                biased;
                 done = &mut work => return Some(done),
                 () = sleep_until(until) => self.expire(stage, Instant::now()),
-                Some(order) = self.call.orders.recv() => match order {
-                    Order::CallOff(id, attempt) => {
-                        let outcome = if stage == Stage::Written { Outcome::Cancelled } else { Outcome::NotSent };
-                        self.part(outcome, |i| (i.id, i.attempt) == (id, attempt));
-                    }
-                    // Guards the rule on waits: a connection may take its whole time to come up, and what was
-                    // decided before the wait would then be written in the midst of it.
-                    Order::Hold if stage == Stage::Connecting => self.part(Outcome::NotSent, |_| true),
-                    Order::Hold => {}
-                },
+                Some(order) = self.call.orders.recv() => self.obey(order, stage),
             }
             // Guards the rule on second copies where none is allowed: the module may send an attempt that ended
             // at once again, while this call still counts as out for its message.
@@ -151,6 +190,36 @@
         }
     }
 
+    fn obey(&mut self, order: Order, stage: Stage) {
+        match order {
+            Order::CallOff(id, attempt) => {
+                let outcome = if stage == Stage::Written { Outcome::Cancelled } else { Outcome::NotSent };
+                self.part(outcome, |i| (i.id, i.attempt) == (id, attempt));
+            }
+            Order::Hold => {
+                self.held = true;
+                self.stay(stage);
+            }
+        }
+    }
+
+    /// Guards the rules on waits and drains: a connection may take its whole time to come up, and what was decided
+    /// before would then be written in the midst of the wait, or long after the drain was told.
+    fn stay(&mut self, stage: Stage) {
+        if self.held && stage == Stage::Connecting {
+            self.part(Outcome::NotSent, |_| true);
+        }
+    }
+
+    /// Obeys what has been ordered by now, before anything is written.
+    fn heed(&mut self) {
+        while let Ok(order) = self.call.orders.try_recv() {
+            self.obey(order, Stage::Connecting);
+        }
+        // Ordered while the call was thought to be written, and its first byte never left.
+        self.stay(Stage::Connecting);
+    }
+
     /// Waits until the limit that several processes share lets the call begin. What can't begin soon goes back: another
     /// endpoint's connection, or another message, may be worth the slot.
     #[cfg(feature = "gate")]
@@ -166,7 +235,7 @@
                 self.given_up.extend(held);
                 return;
             }
-            if self.during(tokio::time::sleep(wait), Stage::Connecting).await.is_none() {
+            if self.during(sleep(wait), Stage::Connecting).await.is_none() {
                 return;
             }
         }
@@ -186,6 +255,13 @@
         self.given_up.extend(gone.map(|item| end(&item, outcome)));
     }
 
+    /// A single message whose first line has come is delivered, also where its time was up before the rest came.
+    fn reconsider(&mut self, first_line: Option<StatusCode>) {
+        if let ([end], Some(StatusCode::OK), false) = (&mut self.given_up[..], first_line, self.several) {
+            (end.outcome, end.finished) = (Outcome::Delivered, true);
+        }
+    }
+
     async fn tell(&mut self) {
         let ended = std::mem::take(&mut self.given_up);
         // The engine is gone only when the process ends.
@@ -278,12 +354,14 @@
     states: Option<Vec<ItemState>>,
     /// It came to its end, so that the connection can be used again.
     whole: bool,
+    /// It can't be made out what it says of the call; a wait or a report in its head holds all the same.
+    spoilt: bool,
 }
 
 impl Answer {
     /// One of which only the first line is of use.
     fn bare(status: StatusCode) -> Self {
-        Answer { status, wait: None, no_slot: false, report: None, states: None, whole: false }
+        Answer { status, wait: None, no_slot: false, report: None, states: None, whole: false, spoilt: false }
     }
 }
 
@@ -298,9 +376,13 @@
     Spoilt,
 }
 
-async fn exchange(open: &mut Connection, request: Request<Full<Bytes>>) -> Result<Answer, Silence> {
+async fn exchange(
+    open: &mut Connection,
+    request: Request<Full<Bytes>>,
+    begin_by: Option<Instant>,
+) -> Result<Answer, Silence> {
     let several = request.uri().path() == "/hook/batch";
-    match open.send(request).await {
+    match open.send(request, begin_by).await {
         Ok(response) => read(response, several).await,
         // The first line says so, whatever became of the rest.
         Err(Broken::Spoilt | Broken::InDoubt) if !several && open.status() == Some(StatusCode::OK) => {
@@ -325,9 +407,10 @@
     let body = connection::body(response.into_body(), ANSWER_MOST).await;
     answer.whole = body.is_some();
     if several && answer.status == StatusCode::OK {
-        answer.states = Some(body.as_deref().and_then(states).ok_or(Silence::Spoilt)?);
-    } else if !answer.whole && answer.status != StatusCode::OK {
-        return Err(Silence::Spoilt);
+        answer.states = body.as_deref().and_then(states);
+        answer.spoilt = answer.states.is_none();
+    } else {
+        answer.spoilt = !answer.whole && answer.status != StatusCode::OK;
     }
     Ok(answer)
 }
@@ -391,6 +474,7 @@
 fn outcome(answer: &Answer, state: Option<&str>) -> (Outcome, bool) {
     let full = Outcome::Full { wait: answer.wait };
     match answer.status {
+        _ if answer.spoilt => (Outcome::Spoilt, false),
         StatusCode::OK if answer.states.is_some() => match state {
             Some("accepted") => (Outcome::Delivered, true),
             Some("deferred") => (full, false),
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -13,13 +13,13 @@
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 /// What a connection may hold of unread bytes, and so the longest head of an answer.
 const BUFFER: usize = 16 << 10;
@@ -50,21 +50,36 @@
 
 /// How far the present request has come on its way out.
 #[derive(Debug, Default)]
-struct Progress(AtomicU8);
+struct Progress {
+    state: AtomicU8,
+    /// Its first byte may not leave later.
+    begin_by: Mutex<Option<Instant>>,
+}
 
 impl Progress {
     /// Its first byte has still to be written.
     const FRESH: u8 = 1;
     const WRITTEN: u8 = 2;
-    /// It met bytes, or an end, that it did not ask for: no byte of it was written, nor will be.
+    /// It met bytes, or an end, that it did not ask for, or was too late: no byte of it was written, nor will be.
     const CROSSED: u8 = 3;
 
     fn set(&self, to: u8) {
-        self.0.store(to, Ordering::Relaxed);
+        self.state.store(to, Ordering::Relaxed);
+    }
+
+    /// The next request: its first byte has still to be written, no later than then.
+    fn begin(&self, by: Option<Instant>) {
+        *self.begin_by.lock().unwrap_or_else(PoisonError::into_inner) = by;
+        self.set(Progress::FRESH);
+    }
+
+    fn is_late(&self) -> bool {
+        let by = *self.begin_by.lock().unwrap_or_else(PoisonError::into_inner);
+        by.is_some_and(|by| by <= Instant::now())
     }
 
     fn is(&self, what: u8) -> bool {
-        self.0.load(Ordering::Relaxed) == what
+        self.state.load(Ordering::Relaxed) == what
     }
 }
 
@@ -105,12 +120,17 @@
 
     /// Sends one request and waits for the head of its answer, but not for one that has begun and does not end:
     /// it would hold its slot until the call's time-out.
-    pub(crate) async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Broken> {
+    /// Its first byte leaves no later than `begin_by`: the process may be stopped at any point before.
+    pub(crate) async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        begin_by: Option<Instant>,
+    ) -> Result<Response<Incoming>, Broken> {
         if self.sender.ready().await.is_err() {
             return Err(Broken::Unwritten);
         }
         self.seen.send_replace(Seen::Nothing);
-        self.request.set(Progress::FRESH);
+        self.request.begin(begin_by);
         let mut seen = self.seen.subscribe();
         let answer = tokio::select! {
             biased;
@@ -235,7 +255,7 @@
             };
         }
         match SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]) {
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock && !self.request.is_late() => {
                 self.request.set(Progress::WRITTEN);
                 Ok(())
             }
@@ -296,7 +316,7 @@
         let mut request = Request::new(Full::new(Bytes::from_static(b"body")));
         *request.method_mut() = hyper::Method::POST;
         set_host(&mut request, to);
-        let answer = connection.send(request).await.map(|answer| answer.status());
+        let answer = connection.send(request, None).await.map(|answer| answer.status());
         (answer, peer.join().expect("it ends"))
     }
 
--- a/crates/http/src/discovery.rs
+++ b/crates/http/src/discovery.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 use tokio::sync::mpsc::Sender;
 use tokio::sync::watch;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 use yarrowhill_engine::{EndpointList, Input};
 
 const CONNECT: Duration = Duration::from_secs(1);
@@ -52,8 +52,9 @@
 pub struct Watcher {
     /// The version that is known.
     pub rev: u64,
-    /// Forwarders that share discovery with this one, itself among them.
-    pub senders: usize,
+    /// Forwarders that share discovery with this one, itself among them; none where an agent of its own has what is
+    /// pushed.
+    pub askers: Option<usize>,
     /// For random numbers.
     pub seed: u64,
 }
@@ -62,17 +63,18 @@
 /// one, and the whole list is asked for there: the old one may have fallen behind.
 pub async fn watch(mut at: watch::Receiver<SocketAddr>, watcher: Watcher, engine: Sender<Input>) {
     let chance = ChaCha8Rng::seed_from_u64(watcher.seed);
-    let mut refresh = Refresh::new(watcher.senders, watcher.rev, chance);
+    let mut refresh = Refresh::new(watcher.askers, watcher.rev, chance);
     let mut connection = None;
     // A new address is tried at once.
     let _ = timeout(refresh.first(), at.changed()).await;
     loop {
         let to = *at.borrow_and_update();
         let ask = refresh.ask();
+        let asked = Instant::now();
         tracing::debug!(%to, ?ask, "asks discovery");
         let told = tokio::select! {
             biased;
-            told = call(to, ask, &mut connection) => told,
+            told = timeout(ask.lost, call(to, ask, &mut connection)) => told.unwrap_or(Err(Failed::Silent)),
             Ok(()) = at.changed() => {
                 connection = None;
                 refresh.moved();
@@ -93,7 +95,7 @@
                 if !matches!(e, Failed::Status(_)) {
                     connection = None;
                 }
-                let pause = refresh.failed(e.kind());
+                let pause = refresh.failed(e.kind(), asked.elapsed());
                 if let Ok(Ok(())) = timeout(pause, at.changed()).await {
                     refresh.moved();
                 }
@@ -114,13 +116,10 @@
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = path.parse().map_err(|_| Failed::Broken)?;
     connection::set_host(&mut request, at);
-    let exchange = async {
-        let answer = open.send(request).await.map_err(|_| Failed::Broken)?;
-        match answer.status() {
-            StatusCode::OK => connection::body(answer.into_body(), MOST).await.ok_or(Failed::Broken),
-            status => Err(Failed::Status(status)),
-        }
+    let answer = open.send(request, None).await.map_err(|_| Failed::Broken)?;
+    let text = match answer.status() {
+        StatusCode::OK => connection::body(answer.into_body(), MOST).await.ok_or(Failed::Broken)?,
+        status => return Err(Failed::Status(status)),
     };
-    let text = timeout(ask.lost, exchange).await.map_err(|_| Failed::Silent)??;
     Ok(serde_json::from_slice(&text)?)
 }
--- a/crates/http/src/notices.rs
+++ b/crates/http/src/notices.rs
@@ -57,7 +57,7 @@
     }
     let Some(open) = open else { return false };
     let exchange = async {
-        let answer = open.send(request).await.ok()?;
+        let answer = open.send(request, None).await.ok()?;
         let status = answer.status();
         connection::body(answer.into_body(), 1 << 16).await.map(|_| status)
     };
--- a/crates/http/tests/calls.rs
+++ b/crates/http/tests/calls.rs
@@ -23,7 +23,16 @@
     let (_orders, orders) = mpsc::channel(3);
     let items = vec![item(1, SOON), item(2, SOON * 20)];
     let connect_timeout = Duration::from_secs(1);
-    let call = Call { endpoint: 1, dest: 10, to, items, second_copies, connect_timeout, orders };
+    let call = Call {
+        endpoint: 1,
+        dest: 10,
+        to,
+        decided: Instant::now(),
+        items,
+        second_copies,
+        connect_timeout,
+        orders,
+    };
     Pool::new(4, Duration::from_secs(5)).start(call, inputs);
     let (mut stream, _) = listener.accept().await.expect("it calls");
     let mut text = Vec::new();
@@ -60,7 +69,16 @@
     let now = Instant::now();
     let items = vec![item(1, now + SOON * 60, now + SOON), item(2, now + SOON * 60, now + SOON * 60)];
     let connect_timeout = SOON * 50;
-    let call = Call { endpoint: 1, dest: 10, to, items, second_copies: false, connect_timeout, orders };
+    let call = Call {
+        endpoint: 1,
+        dest: 10,
+        to,
+        decided: Instant::now(),
+        items,
+        second_copies: false,
+        connect_timeout,
+        orders,
+    };
     Pool::new(4, Duration::from_secs(5)).start(call, inputs);
     match timeout(SOON * 10, news.recv()).await.expect("its time is up") {
         Some(Input::Call(end)) => assert_eq!(ended(&end), [(1, Outcome::NotSent)]),
@@ -169,7 +187,16 @@
         let until = Instant::now() + SOON * 20;
         let items = vec![item(id, until, until)];
         let connect_timeout = Duration::from_secs(1);
-        let call = Call { endpoint: 1, dest: 10, to, items, second_copies: true, connect_timeout, orders };
+        let call = Call {
+            endpoint: 1,
+            dest: 10,
+            to,
+            decided: Instant::now(),
+            items,
+            second_copies: true,
+            connect_timeout,
+            orders,
+        };
         pool.start(call, inputs.clone());
         match timeout(SOON * 30, news.recv()).await.expect("it ends") {
             Some(Input::Call(end)) => outcomes.extend(end.ended.iter().map(|e| e.outcome)),
@@ -199,3 +226,71 @@
     let (outcomes, calls) = two_calls(close).await;
     assert_eq!((outcomes, calls), (vec![Outcome::Delivered, Outcome::Error], vec![0, 1]));
 }
+
+/// One message in a call to this address, and what the test may order.
+fn call_to(
+    to: SocketAddr,
+    until: Instant,
+) -> (mpsc::Sender<yarrowhill_engine::Order>, mpsc::Receiver<Input>) {
+    let (inputs, news) = mpsc::channel(8);
+    let (order, orders) = mpsc::channel(2);
+    let items = vec![item(1, until, until)];
+    let connect_timeout = Duration::from_secs(1);
+    let decided = Instant::now();
+    let call =
+        Call { endpoint: 1, dest: 10, to, decided, items, second_copies: true, connect_timeout, orders };
+    Pool::new(4, Duration::from_secs(5)).start(call, inputs);
+    (order, news)
+}
+
+async fn next(news: &mut mpsc::Receiver<Input>) -> CallEnd {
+    match timeout(SOON * 20, news.recv()).await.expect("it ends") {
+        Some(Input::Call(end)) => end,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// A first line with 200 delivers a message, also where its time is up before the rest comes: it was taken for timed
+/// out, and a message that must not run twice was given up, or one that may was sent again.
+#[tokio::test]
+async fn a_first_line_just_before_the_time_is_up_delivers() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let to = listener.local_addr().expect("an address");
+    let (_order, mut news) = call_to(to, Instant::now() + SOON * 2);
+    let (mut stream, _) = listener.accept().await.expect("it calls");
+    assert!(stream.read(&mut [0; 4096]).await.expect("it writes") > 0);
+    tokio::io::AsyncWriteExt::write_all(&mut stream, b"HTTP/1.1 200 OK\r\nContent-Len")
+        .await
+        .expect("it reads");
+    let end = next(&mut news).await;
+    assert_eq!(ended(&end), [(1, Outcome::Delivered)]);
+    assert!(end.ended[0].finished);
+}
+
+/// Also where the attempt is called off in that moment.
+#[tokio::test]
+async fn a_first_line_just_before_a_call_is_called_off_delivers() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let to = listener.local_addr().expect("an address");
+    let (order, mut news) = call_to(to, Instant::now() + SOON * 20);
+    let (mut stream, _) = listener.accept().await.expect("it calls");
+    assert!(stream.read(&mut [0; 4096]).await.expect("it writes") > 0);
+    tokio::io::AsyncWriteExt::write_all(&mut stream, b"HTTP/1.1 200 OK\r\n").await.expect("it reads");
+    tokio::time::sleep(SOON).await;
+    order.send(yarrowhill_engine::Order::CallOff(1, 0)).await.expect("it is out");
+    assert_eq!(ended(&next(&mut news).await), [(1, Outcome::Delivered)]);
+}
+
+/// What is ordered before the task of a call has had its first turn holds before a byte leaves.
+#[tokio::test]
+async fn a_hold_before_the_first_turn_of_a_call_is_kept() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let to = listener.local_addr().expect("an address");
+    let (order, mut news) = call_to(to, Instant::now() + SOON * 20);
+    order.try_send(yarrowhill_engine::Order::Hold).expect("there is room");
+    assert_eq!(ended(&next(&mut news).await), [(1, Outcome::NotSent)]);
+    let connected = timeout(SOON, listener.accept()).await;
+    if let Ok(Ok((mut stream, _))) = connected {
+        assert_eq!(stream.read(&mut [0; 16]).await.unwrap_or(0), 0, "it was written");
+    }
+}
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -231,6 +231,8 @@
     pub attempts: usize,
     /// When the first attempt that may have run was sent, and the zone of its endpoint.
     pub risk: Option<(Micros, usize)>,
+    /// It was taken on: it is tried, whatever the list says so far.
+    pub taken_on: bool,
 }
 
 /// The end of an attempt. Attempts of a message are numbered from 0 in the order of their sends.
--- a/crates/policy/src/balancer/hold.rs
+++ b/crates/policy/src/balancer/hold.rs
@@ -18,7 +18,7 @@
             return actions.push(Action::Refuse { id: m.id, wait: 0 });
         };
         // Nothing is kept for a destination that the list has never named: anybody may name any number.
-        if m.past.attempts == 0 && !self.dests.contains_key(&m.dest) {
+        if m.past.attempts == 0 && !m.past.taken_on && !self.dests.contains_key(&m.dest) {
             return actions
                 .push(Action::Refuse { id: m.id, wait: e.s.max_retry_after.clamp(0, e.aim as Micros) });
         }
@@ -32,7 +32,7 @@
         // A client that comes with less patience than the aim is on time until it leaves.
         let due = m.give_up_at - if m.give_up_at - now > c.aim { c.deadline - c.aim } else { 0 };
         let m = Submit { key: key.clone(), ..m };
-        let Past { attempts, risk } = m.past;
+        let Past { attempts, risk, .. } = m.past;
         let held = Message { m, over, due, alarm: now, attempts, place: Place::Turn, risk, started: false };
         self.messages.insert(id, held);
         self.set_alarm(id);
--- a/crates/policy/tests/fleet/play.rs
+++ b/crates/policy/tests/fleet/play.rs
@@ -128,7 +128,7 @@
         let resumed = self.held.iter_mut().map(|(id, (give_up_at, attempts, risk, out))| {
             *risk = risk.or(out.then_some(now));
             *out = false;
-            let past = Past { attempts: *attempts, risk: risk.map(|at| (at, 0)) };
+            let past = Past { attempts: *attempts, risk: risk.map(|at| (at, 0)), taken_on: true };
             Event::Submit(submit(*id, *give_up_at, past))
         });
         resumed.collect()
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -550,7 +550,8 @@
 
 #[test]
 fn a_resumed_message_keeps_its_attempts_and_its_risk() {
-    let past = |attempts, ago: Option<Micros>| Past { attempts, risk: ago.map(|ago| (ago, 0)) };
+    let past =
+        |attempts, ago: Option<Micros>| Past { attempts, risk: ago.map(|ago| (ago, 0)), taken_on: false };
     let goes = |actions: &[Action]| !sends(actions).is_empty();
     let fails = |actions: &[Action]| actions.contains(&Action::Fail { id: 1 });
     // Never ran: it goes on, while it has attempts left; then it is handed back.
--- a/crates/yarrowhill/src/config.rs
+++ b/crates/yarrowhill/src/config.rs
@@ -43,6 +43,9 @@
 /// Shards that a process may have.
 const SHARDS_MOST: usize = if cfg!(feature = "shards") { 64 } else { 1 };
 
+/// Calls out at a time: one for so many descriptors at most.
+const SLOTS_PART: usize = 3;
+
 /// Bounds on what the process may hold.
 #[derive(Clone, Copy, Debug, Deserialize)]
 pub(crate) struct Limits {
@@ -145,7 +148,10 @@
             (None, Some(_)) => return Err(ConfigError::Nameless),
             (Some(name), Some(fleet)) => Some((name, path.parent().unwrap_or(Path::new("")).join(fleet))),
         };
-        let (settings, names) = from_json(&file.settings).map_err(ConfigError::Settings)?;
+        let (mut settings, names) = from_json(&file.settings).map_err(ConfigError::Settings)?;
+        // Where the settings name no bound, the descriptors are one: a call that can't have a connection for want of
+        // them would look like an outage of its destination.
+        settings.slots = settings.slots.min((file.limits.sockets / SLOTS_PART).max(1));
         Ok(Config {
             listen: file.listen,
             discovery: file.discovery,
--- a/crates/yarrowhill/src/daemon.rs
+++ b/crates/yarrowhill/src/daemon.rs
@@ -63,8 +63,8 @@
 /// Who keeps the list, and how many others do. What is pushed is had from an agent of the forwarder's own machine, at
 /// no cost to anybody; only what has to be asked for is shared with the others.
 pub(crate) fn watcher(config: &Config) -> Watcher {
-    let senders = if config.settings.ask { config.settings.senders } else { 1 };
-    Watcher { rev: config.known.rev, senders, seed: config.seed }
+    let askers = config.settings.ask.then_some(config.settings.senders);
+    Watcher { rev: config.known.rev, askers, seed: config.seed }
 }
 
 /// Reads the file again at each SIGHUP and passes on discovery's address; all else that the file tells holds
--- a/crates/yarrowhill/tests/support/mod.rs
+++ b/crates/yarrowhill/tests/support/mod.rs
@@ -1,5 +1,7 @@
 //! Small loopback stand-ins for targets, discovery and clients, and the real program between them.
 #![allow(missing_docs)]
+// Each file of tests uses a part of it.
+#![allow(dead_code)]
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -16,7 +18,7 @@
 use std::time::Duration;
 use std::{env, fs, io, process};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
@@ -152,19 +154,29 @@
         let (lists, mut pushed) = mpsc::unbounded_channel::<Value>();
         let (pass_on, notices) = mpsc::unbounded_channel();
         tokio::spawn(async move {
-            let (mut watch, mut list): (Option<Call>, Option<Value>) = (None, None);
+            // All that was pushed, in this order, and the call that waits for more.
+            let (mut told, mut watch): (Vec<Value>, Option<Call>) = (Vec::new(), None);
             loop {
                 tokio::select! {
                     Some(call) = stub.calls.recv() => match call.path.starts_with("/api/targets") {
                         true => watch = Some(call),
                         false => drop(pass_on.send(call)),
                     },
-                    Some(new) = pushed.recv() => list = Some(new),
+                    Some(new) = pushed.recv() => told.push(new),
                     else => return,
                 }
-                if let (Some(call), Some(new)) = (watch.take_if(|_| list.is_some()), list.as_ref()) {
-                    call.answer_with(200, &[], &new.to_string());
-                    list = None;
+                let Some(call) = watch.take() else { continue };
+                let index = call.path.split("index=").nth(1).and_then(|i| i.split('&').next());
+                let index: Option<u64> = index.and_then(|i| i.parse().ok());
+                let known = index.and_then(|i| told.iter().rposition(|list| list["rev"] == i));
+                match told.get(known.map_or(0, |known| known + 1)) {
+                    Some(news) => call.answer_with(200, &[], &news.to_string()),
+                    // An ask that does not wait hears at once that nothing is new.
+                    None if call.path.ends_with("&wait=0") => {
+                        let nothing = format!(r#"{{"rev":{},"all":false,"targets":[]}}"#, index.unwrap_or(0));
+                        call.answer_with(200, &[], &nothing);
+                    }
+                    None => watch = Some(call),
                 }
             }
         });
@@ -276,6 +288,32 @@
         self.ready().await;
     }
 
+    /// Changes the configuration file that the next start reads.
+    pub fn configure(&self, change: impl FnOnce(&mut Value)) {
+        let path = self.folder.join("config.json");
+        let text = fs::read(&path).expect("it was written");
+        let mut config = serde_json::from_slice(&text).expect("it is JSON");
+        change(&mut config);
+        fs::write(&path, config.to_string()).expect("the folder is writable");
+    }
+
+    /// SIGSTOP, seen to have taken effect.
+    pub async fn stop(&self) {
+        self.signal("-STOP");
+        let stat = PathBuf::from(format!("/proc/{}/stat", self.process.id()));
+        let stopped = async {
+            while !fs::read_to_string(&stat).expect("it lives").contains(") T ") {
+                sleep(Duration::from_millis(1)).await;
+            }
+        };
+        timeout(SOON, stopped).await.expect("it stops");
+    }
+
+    /// SIGCONT.
+    pub fn go_on(&self) {
+        self.signal("-CONT");
+    }
+
     /// SIGKILL.
     pub fn kill(&mut self) {
         self.process.kill().and_then(|()| self.process.wait()).expect("it was running");
@@ -285,13 +323,13 @@
         self.signal("-TERM");
     }
 
+    pub fn hang_up(&self) {
+        self.signal("-HUP");
+    }
+
     /// Changes the configuration file and sends SIGHUP.
     pub fn reload(&self, change: impl FnOnce(&mut Value)) {
-        let path = self.folder.join("config.json");
-        let text = fs::read(&path).expect("it was written");
-        let mut config = serde_json::from_slice(&text).expect("it is JSON");
-        change(&mut config);
-        fs::write(&path, config.to_string()).expect("the folder is writable");
+        self.configure(change);
         self.signal("-HUP");
     }
 
@@ -421,10 +459,32 @@
         timeout(SOON, whole).await.expect("a request comes")
     }
 
+    /// Reads the head of one request without a body, and gives its text.
+    pub async fn head(&mut self) -> String {
+        let mut text = Vec::new();
+        let whole = async {
+            while !text.ends_with(b"\r\n\r\n") {
+                let read = self.0.read_buf(&mut text).await.expect("it is open");
+                assert!(read > 0, "closed: {:?}", String::from_utf8_lossy(&text));
+            }
+        };
+        timeout(SOON, whole).await.expect("a request comes");
+        String::from_utf8_lossy(&text).into_owned()
+    }
+
     pub async fn write(&mut self, text: &str) {
         self.0.write_all(text.as_bytes()).await.expect("it is open");
     }
 
+    /// All that comes until the other side ends its sending, which it does without a reset.
+    pub async fn rest_unbroken(&mut self) -> String {
+        let mut text = Vec::new();
+        let read = timeout(SOON, self.0.read_to_end(&mut text)).await.expect("it is closed");
+        let text = String::from_utf8_lossy(&text).into_owned();
+        read.unwrap_or_else(|e| panic!("{e} behind {text:?}"));
+        text
+    }
+
     /// All that comes until the other side closes.
     pub async fn rest(&mut self) -> String {
         let mut text = Vec::new();
@@ -433,3 +493,41 @@
         String::from_utf8_lossy(&text).into_owned()
     }
 }
+
+/// An address whose connections do not come up until somebody accepts: its queue is full.
+pub struct Jammed {
+    pub addr: SocketAddr,
+    listener: TcpListener,
+    up: Vec<TcpStream>,
+    /// The test's own, which fill the queue.
+    _queued: Vec<TcpStream>,
+}
+
+impl Jammed {
+    pub async fn start() -> Self {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a free port");
+        let listener = socket.listen(1).expect("it listens");
+        let addr = listener.local_addr().expect("it is bound");
+        let mut queued = Vec::new();
+        while let Ok(Ok(stream)) = timeout(Duration::from_millis(150), TcpStream::connect(addr)).await {
+            queued.push(stream);
+        }
+        Jammed { addr, listener, up: Vec::new(), _queued: queued }
+    }
+
+    /// Lets connections come up for so long: the system tries those that found the queue full again after a second.
+    pub async fn let_in(&mut self, span: Duration) {
+        let all = async {
+            loop {
+                self.up.push(self.listener.accept().await.expect("it listens").0);
+            }
+        };
+        let _ = timeout(span, all).await;
+    }
+
+    /// How many bytes stand on the connections that have come up. One that is open and silent holds none.
+    pub fn read(&self) -> usize {
+        self.up.iter().map(|stream| stream.try_read(&mut [0; 4096]).unwrap_or(0)).sum()
+    }
+}
