--- a/crates/settings/src/fields.rs
+++ b/crates/settings/src/fields.rs
@@ -5,15 +5,20 @@
 /// Bound on times read from the wire, so that sums of a few of them cannot overflow.
 pub const TIME_BOUND: f64 = (1i64 << 55) as f64;
 
-/// A malformed line.
+/// A malformed line, or a setting that can't be read.
 #[derive(Debug, thiserror::Error)]
-#[error("line {line}: field {field}: {what}")]
+#[error("{}{field}: {what}", place(*line))]
 pub struct WireError {
     line: u64,
     field: String,
     what: String,
 }
 
+/// Settings from a document have a path in place of a line.
+fn place(line: u64) -> String {
+    if line == 0 { String::new() } else { format!("line {line}: field ") }
+}
+
 /// The fields of one line.
 pub struct Fields<'a> {
     /// Number of the line, for errors; 0 where there are no lines.
@@ -54,7 +59,7 @@
 
     fn parsed<T: std::str::FromStr>(&self, name: &str) -> Result<Option<T>, WireError> {
         self.get(name)
-            .map(|v| v.parse().map_err(|_| self.bad(name, format!("cannot read {v:?}"))))
+            .map(|v| v.parse().map_err(|_| self.bad(name, format!("expected a number, found {v:?}"))))
             .transpose()
     }
 
@@ -66,7 +71,7 @@
     /// A finite number.
     pub fn num(&self, name: &str) -> Result<Option<f64>, WireError> {
         match self.parsed::<f64>(name)? {
-            Some(v) if !v.is_finite() => Err(self.bad(name, "not a finite number")),
+            Some(v) if !v.is_finite() => Err(self.bad(name, "expected a finite number")),
             v => Ok(v),
         }
     }
@@ -81,7 +86,7 @@
         match self.get(name) {
             None | Some("0" | "false") => Ok(false),
             Some("1" | "true") => Ok(true),
-            Some(v) => Err(self.bad(name, format!("cannot read {v:?} as a bool"))),
+            Some(v) => Err(self.bad(name, format!("expected true or false, found {v:?}"))),
         }
     }
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -41,7 +41,10 @@
     }
 
     fn count(&self, name: &str, absent: usize) -> Result<usize, WireError> {
-        Ok(self.fields.num(name)?.map_or(absent, |v| v.max(0.0) as usize))
+        match self.fields.num(name)? {
+            Some(v) if v < 0.0 => Err(self.fields.bad(name, format!("expected a count, found {v}"))),
+            v => Ok(v.map_or(absent, |v| v as usize)),
+        }
     }
 
     fn num(&self, name: &str, absent: f64) -> Result<f64, WireError> {
@@ -120,11 +123,16 @@
                 let per_zone = match c.fields.get(&scope) {
                     Some("all") => false,
                     None | Some("zone" | "cell") => true,
-                    Some(v) => return Err(c.fields.bad(&scope, format!("unknown scope {v:?}"))),
+                    Some(v) => {
+                        return Err(c.fields.bad(&scope, format!("expected all, zone or cell, found {v:?}")));
+                    }
                 };
                 Effect::Keyed { life: c.time(&at("keyTtl"))?, per_zone }
             }
-            v => return Err(c.fields.bad(&kind, format!("unknown kind {v:?}"))),
+            v => {
+                let expected = format!("expected pure, token or side_effect, found {v:?}");
+                return Err(c.fields.bad(&kind, expected));
+            }
         };
         names.classes.push(c.fields.need(&at("name"))?.to_owned());
         classes.push(Class {
@@ -157,7 +165,11 @@
         decay: match c.fields.get("familyInfo.decay") {
             Some("halves") => Decay::Halves,
             None | Some("line") => Decay::Line,
-            Some(v) => return Err(c.fields.bad("familyInfo.decay", format!("unknown decay {v:?}"))),
+            Some(v) => {
+                return Err(c
+                    .fields
+                    .bad("familyInfo.decay", format!("expected line or halves, found {v:?}")));
+            }
         },
         zone: c.fields.get("zone").and_then(|z| index(&names.zones, z)).unwrap_or(usize::MAX),
         senders: c.count("peersTotal", 1)?,
@@ -172,12 +184,17 @@
         ask: match c.fields.get("discovery") {
             Some("ask") => true,
             None | Some("push") => false,
-            Some(v) => return Err(c.fields.bad("discovery", format!("unknown mode {v:?}"))),
+            Some(v) => return Err(c.fields.bad("discovery", format!("expected push or ask, found {v:?}"))),
         },
         weights: match c.fields.get("weights") {
             Some("nominal") => Weights::Nominal,
             Some("rough") => Weights::Rough,
-            _ => Weights::Off,
+            // Live ones change with the load: they are no limit.
+            None | Some("off" | "none" | "live") => Weights::Off,
+            Some(v) => {
+                let expected = format!("expected off, nominal, rough or live, found {v:?}");
+                return Err(c.fields.bad("weights", expected));
+            }
         },
         idle_close: c.time("limits.idleClose")?,
         connect_timeout: c.fields.time("limits.connectTimeout")?.unwrap_or(CONNECT_TIMEOUT),
@@ -222,28 +239,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use yarrowhill_policy::api::Effect;
-
-    #[test]
-    fn nested_settings_are_read_as_the_wire_reads_them() {
-        let settings = serde_json::json!({
-            "classes": [{"name": "auth-notice", "idempotency": "token", "dedupScope": "all",
-                         "keyTtl": 15000.0, "goalTime": 3000.0, "deadline": 28000.0}],
-            "kinds": ["card-issuer", "small-partner"],
-            "familyInfo": {"batchByKind": [20, 1], "kindApart": [false, true], "slots": 15},
-            "realms": [{"name": "two words", "quotaRps": 2.5}],
-            "report": {"fields": ["x0", "x1"]},
-            "limits": {"cancel": true, "absent": null},
-            "zone": "hall-b", "zones": ["hall-a", "hall-b"]
-        });
-        let mut pairs = Vec::new();
-        flatten("", &settings, &mut pairs);
-        let (read, names) = settings_from(&pairs).expect("it is well formed");
-        assert_eq!(read.classes[0].effect, Effect::Keyed { life: 15_000_000, per_zone: false });
-        assert_eq!((read.classes[0].aim, read.slots, read.zone), (3_000_000, 15, 1));
-        assert_eq!((read.kinds[0].batch, read.kinds[1].routes_apart, read.cancel), (20, true, true));
-        assert_eq!((names.classes, names.tenants), (vec!["auth-notice".into()], vec!["two_words".into()]));
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/settings/src/tests.rs
@@ -0,0 +1,25 @@
+//! Nested settings beside the wire's.
+
+use super::*;
+use yarrowhill_policy::api::Effect;
+
+#[test]
+fn nested_settings_are_read_as_the_wire_reads_them() {
+    let settings = serde_json::json!({
+        "classes": [{"name": "auth-notice", "idempotency": "token", "dedupScope": "all",
+                     "keyTtl": 15000.0, "goalTime": 3000.0, "deadline": 28000.0}],
+        "kinds": ["card-issuer", "small-partner"],
+        "familyInfo": {"batchByKind": [20, 1], "kindApart": [false, true], "slots": 15},
+        "realms": [{"name": "two words", "quotaRps": 2.5}],
+        "report": {"fields": ["x0", "x1"]},
+        "limits": {"cancel": true, "absent": null},
+        "zone": "hall-b", "zones": ["hall-a", "hall-b"]
+    });
+    let mut pairs = Vec::new();
+    flatten("", &settings, &mut pairs);
+    let (read, names) = settings_from(&pairs).expect("it is well formed");
+    assert_eq!(read.classes[0].effect, Effect::Keyed { life: 15_000_000, per_zone: false });
+    assert_eq!((read.classes[0].aim, read.slots, read.zone), (3_000_000, 15, 1));
+    assert_eq!((read.kinds[0].batch, read.kinds[1].routes_apart, read.cancel), (20, true, true));
+    assert_eq!((names.classes, names.tenants), (vec!["auth-notice".into()], vec!["two_words".into()]));
+}
--- a/crates/yarrowhill/tests/support/mod.rs
+++ b/crates/yarrowhill/tests/support/mod.rs
@@ -245,6 +245,12 @@
     })
 }
 
+/// A configuration that nobody listens by.
+pub fn example() -> Value {
+    let nowhere = SocketAddr::from(([127, 0, 0, 1], 9));
+    config(nowhere, nowhere, &[])
+}
+
 /// The real program, with a folder of its own.
 pub struct Forwarder {
     pub addr: SocketAddr,
