Begin a second connection beside a late one, and bound growth by the told budget

Cause of the first: a message waited its whole connect time-out for a connection that came up late, which then counted as a failure of its destination (calls.rs, `Connection::open`). A second one is begun after half the time; the first that is up is used, the other kept or closed, a quarter of the idle places at most. A call that was held while its kept connection turned out dead goes back unsent, not as a failed connection.

--- a/crates/http/src/calls.rs
+++ b/crates/http/src/calls.rs
@@ -10,11 +10,14 @@
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use serde::{Deserialize, Serialize};
+use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
+use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::Semaphore;
 use tokio::sync::mpsc::Sender;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 #[cfg(feature = "gate")]
 use yarrowhill_engine::CallWent;
 use yarrowhill_engine::{AttemptEnd, Call, CallEnd, Input, Item, Order};
@@ -41,7 +44,8 @@
     mut connection: Option<Connection>,
     results: Sender<Input>,
     gate: Gated,
-    keep: impl FnOnce(Connection),
+    spares: Spares,
+    keep: impl Fn(Connection) + Clone + Send + 'static,
 ) {
     let waiting = std::mem::take(&mut call.items);
     let mut pending =
@@ -52,10 +56,15 @@
         connection = connection.filter(Connection::is_open);
         let kept = connection.is_some();
         pending.heed();
+        if pending.waiting.is_empty() {
+            connection.map(keep);
+            return pending.tell().await;
+        }
         let stopped = if kept {
             pending.call.decided.elapsed() > STOPPED
         } else {
-            let opening = unstopped(Connection::open(pending.call.to, pending.call.connect_timeout));
+            let (to, limit) = (pending.call.to, pending.call.connect_timeout);
+            let opening = unstopped(open(to, limit, &spares, keep.clone()));
             match pending.during(opening, Stage::Connecting).await {
                 Some((Ok(open), stopped)) => {
                     connection = Some(open);
@@ -95,9 +104,11 @@
         let begin_by = pending.waiting.iter().map(|i| Stage::Connecting.ends(i)).min();
         let exchange = exchange(open, request, begin_by);
         match pending.during(exchange, Stage::Written).await {
-            // A connection that was kept has turned out to be of no use, or its first byte was too late for some: the
-            // call opens another one for what may still begin.
-            Some(Err(Silence::Unwritten)) if kept || begin_by.is_some_and(|by| by <= Instant::now()) => {
+            // A connection that was kept has turned out to be of no use, or its first byte was too late for some: what may
+            // still begin goes by another one, and what was held meanwhile goes back.
+            Some(Err(Silence::Unwritten))
+                if kept || pending.held || begin_by.is_some_and(|by| by <= Instant::now()) =>
+            {
                 connection = None;
             }
             answer => break answer,
@@ -120,6 +131,42 @@
     pending.tell().await;
 }
 
+/// Places for connections that are opened beside others.
+pub(crate) type Spares = Arc<Semaphore>;
+
+/// Opens a connection; where it is not up after half its time, a second one beside it, since the first may come up late
+/// or never. Whichever is up first is used. The other is kept once it is up, or closed when its time is over; both are
+/// closed if the call ends meanwhile.
+async fn open(
+    to: SocketAddr,
+    limit: Duration,
+    spares: &Spares,
+    keep: impl FnOnce(Connection) + Send + 'static,
+) -> io::Result<Connection> {
+    let mut first = Box::pin(Connection::open(to, limit));
+    if let Ok(done) = timeout(limit / 2, &mut first).await {
+        return done;
+    }
+    let Ok(place) = spares.clone().try_acquire_owned() else { return first.await };
+    let mut second = Box::pin(Connection::open(to, limit));
+    let (done, other) = tokio::select! {
+        biased;
+        // Its time is what the settings allow: the call does not wait for longer.
+        done = &mut first => (done, second),
+        done = &mut second => match done {
+            Err(_) => return first.await,
+            done => (done, first),
+        },
+    };
+    tokio::spawn(async move {
+        if let Ok(late) = other.await {
+            keep(late);
+        }
+        drop(place);
+    });
+    done
+}
+
 /// Waits for `work`, and tells whether the process was stopped just before it was done.
 async fn unstopped<T>(work: impl Future<Output = T>) -> (T, bool) {
     let mut work = pin!(work);
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -1,11 +1,12 @@
 //! The transport over HTTP/1.1: calls as tasks, and the idle connections between them.
 
-use crate::calls;
+use crate::calls::{self, Spares};
 use crate::connection::Connection;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use tokio::sync::Semaphore;
 use tokio::sync::mpsc::Sender;
 use tokio::time::Instant;
 #[cfg(feature = "gate")]
@@ -18,6 +19,9 @@
 /// An idle connection is given up this part of the peer's limit early: a request must not cross its closing.
 const IDLE_MARGIN: u32 = 8;
 
+/// One in so many places for idle connections is for those that are opened beside a slow one.
+const SPARE_PART: usize = 4;
+
 /// Makes calls over HTTP/1.1, one task each, and keeps connections between them.
 ///
 /// ```
@@ -29,6 +33,7 @@
 pub struct Pool {
     shared: Arc<Mutex<Shared>>,
     idle_limit: Duration,
+    spares: Spares,
     gate: Gated,
 }
 
@@ -99,9 +104,11 @@
 impl Pool {
     /// Keeps at most `idle_most` idle connections, each for a little less than the peers' `idle_close`.
     pub fn new(idle_most: usize, idle_close: Duration) -> Self {
-        let shared = Shared { endpoints: HashMap::new(), idle: 0, idle_most };
+        let spares = idle_most / SPARE_PART;
+        let shared = Shared { endpoints: HashMap::new(), idle: 0, idle_most: idle_most - spares };
         let idle_limit = idle_close - idle_close / IDLE_MARGIN;
-        Pool { shared: Arc::new(Mutex::new(shared)), idle_limit, gate: Gated::default() }
+        let spares = Arc::new(Semaphore::new(spares));
+        Pool { shared: Arc::new(Mutex::new(shared)), idle_limit, spares, gate: Gated::default() }
     }
 
     /// The same with a gate that is looked at just before the first byte of each call.
@@ -146,9 +153,8 @@
         let (endpoint, to) = (call.endpoint, call.to);
         let idle = self.lock().take(endpoint, to);
         let shared = self.shared.clone();
-        tokio::spawn(calls::make(call, idle, results, self.gate.clone(), move |connection| {
-            lock(&shared).keep(endpoint, to, connection);
-        }));
+        let keep = move |connection| lock(&shared).keep(endpoint, to, connection);
+        tokio::spawn(calls::make(call, idle, results, self.gate.clone(), self.spares.clone(), keep));
     }
 
     fn endpoint(&mut self, endpoint: EndpointId, keep: Option<SocketAddr>) {
--- a/crates/http/tests/calls.rs
+++ b/crates/http/tests/calls.rs
@@ -294,3 +294,57 @@
         assert_eq!(stream.read(&mut [0; 16]).await.unwrap_or(0), 0, "it was written");
     }
 }
+
+/// An address whose listener lets nobody in by itself, and connections that fill its queue.
+struct Held {
+    listener: TcpListener,
+    to: SocketAddr,
+    _queued: Vec<TcpStream>,
+}
+
+async fn held() -> Held {
+    let (listener, queued) = jammed().await;
+    let to = listener.local_addr().expect("it is bound");
+    Held { listener, to, _queued: queued }
+}
+
+/// Seen on days on which a third of the connections come up late: a message waited for the one that it had begun with,
+/// and that was taken for a destination that is down. The system tries a connection again after a second: one that is
+/// begun half a second later is up half a second later than that.
+#[tokio::test]
+async fn a_connection_that_comes_up_late_is_not_waited_for_alone() {
+    let held = held().await;
+    let (inputs, mut news) = mpsc::channel(8);
+    let (_order, orders) = mpsc::channel(2);
+    let until = Instant::now() + SOON * 40;
+    let call = Call {
+        endpoint: 1,
+        dest: 10,
+        to: held.to,
+        decided: Instant::now(),
+        items: vec![item(1, until, until)],
+        second_copies: true,
+        connect_timeout: Duration::from_millis(800),
+        orders,
+    };
+    let mut pool = Pool::new(8, Duration::from_secs(5));
+    pool.endpoint(1, Some(held.to));
+    pool.start(call, inputs);
+    // The first one's try has been lost; there is room from now on, and the next begins after 400 ms.
+    tokio::time::sleep(SOON).await;
+    let begun = Instant::now();
+    let serving = tokio::spawn(async move {
+        while let Ok((mut stream, _)) = held.listener.accept().await {
+            tokio::spawn(async move {
+                if matches!(stream.read(&mut [0; 4096]).await, Ok(1..)) {
+                    let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+                    let _ = tokio::io::AsyncWriteExt::write_all(&mut stream, answer).await;
+                    let _ = stream.read(&mut [0; 16]).await;
+                }
+            });
+        }
+    });
+    assert_eq!(ended(&next(&mut news).await), [(1, Outcome::Delivered)]);
+    assert!(begun.elapsed() < Duration::from_millis(700), "{:?}", begun.elapsed());
+    serving.abort();
+}
--- a/crates/policy/src/balancer/scope.rs
+++ b/crates/policy/src/balancer/scope.rs
@@ -124,8 +124,7 @@
         self.ceiling.unwrap_or(0.0) * e.part
     }
 
-    /// A told limit far from the listed one was spoilt on its way: a tiny one would starve the destination,
-    /// and from a huge one no refusal would bring the pace back.
+    /// A told limit far from the listed one was spoilt on its way: it would starve the destination, or flood it.
     pub(super) fn believes(&self, limit: f64) -> bool {
         let listed = if self.listed > 0.0 { self.listed } else { 10.0 };
         let times = if self.listed > 0.0 { REPORT_TIMES } else { REPORT_TIMES * REPORT_TIMES };
@@ -274,8 +273,8 @@
             }
             State::Warming(since) if (now - since) as f64 > e.warm => self.state = State::Open,
             State::Warming(_) if took < ROOM_TIMES * self.usual => {
-                // Where nobody tells what it takes: no more beyond what it took before than warmth explains.
-                let most = if self.is_told() { f64::MAX } else { 1.0 / e.s.start_capacity };
+                // The whole budget where it is told; else no more beyond what it took before than warmth explains.
+                let most = if self.is_told() { 1.0 } else { 1.0 / e.s.start_capacity };
                 self.boost = (self.boost * GROW).min(most);
             }
             _ => {}
@@ -295,7 +294,8 @@
         }
         let bad = self.bad.get(now, e.health);
         let few = (self.own_rate(now, e) * e.health / SECOND / 2.0).max(OUTAGE_FAILS * e.part);
-        if bad >= OUTAGE_FAILS.min(few) && bad > self.good.get(now, e.health) {
+        let lately = now - self.last_good < e.aim as Micros / 2;
+        if bad >= OUTAGE_FAILS.min(few) && (!lately || bad > self.good.get(now, e.health)) {
             self.enter_outage(now, e);
         }
     }
--- a/crates/policy/tests/fleet/destination.rs
+++ b/crates/policy/tests/fleet/destination.rs
@@ -39,6 +39,8 @@
     /// Down from then, up again then.
     pub outage: Option<(Micros, Micros)>,
     pub down: Down,
+    /// It never turns a call away while it is cold: nothing shows that it is.
+    pub mute: bool,
     /// When each idle or busy connection was last used, by sender; and how many there may be.
     connections: BTreeMap<usize, Micros>,
     pub most_connections: usize,
@@ -58,6 +60,7 @@
             left: (1.0, now),
             outage: None,
             down: Down::default(),
+            mute: false,
             connections: BTreeMap::new(),
             most_connections: usize::MAX,
             idle_close,
@@ -106,7 +109,7 @@
         if now - self.left.1 > 300 * MS {
             self.left = ((self.level / self.depth).clamp(0.0, 1.0), now);
         }
-        let taken = self.level >= 1.0;
+        let taken = self.level >= 1.0 || self.mute;
         // A debt of one depth is the most that is remembered.
         self.level = (self.level - 1.0).max(-self.depth);
         let outcome = if taken { Outcome::Delivered } else { Outcome::Full { wait: None } };
--- a/crates/policy/tests/fleet/main.rs
+++ b/crates/policy/tests/fleet/main.rs
@@ -93,6 +93,7 @@
     load: f64,
     one_has: f64,
     listed: Option<f64>,
+    mute: bool,
 }
 
 const DOWN: [Down; 4] = [Down::Refuses, Down::Hangs, Down::Errs, Down::Shuts];
@@ -100,11 +101,12 @@
 fn returns() -> impl Iterator<Item = Return> {
     DOWN.into_iter().flat_map(|down| {
         [
-            Return { down, long: 5, load: 0.9, one_has: 0.0, listed: Some(1.0) },
-            Return { down, long: 5, load: 0.9, one_has: 0.5, listed: Some(1.0) },
-            Return { down, long: 14, load: 1.3, one_has: 0.2, listed: Some(1.0) },
-            Return { down, long: 10, load: 0.9, one_has: 0.2, listed: Some(1.5) },
-            Return { down, long: 10, load: 0.9, one_has: 0.2, listed: None },
+            Return { down, long: 5, load: 0.9, one_has: 0.0, listed: Some(1.0), mute: false },
+            Return { down, long: 5, load: 0.9, one_has: 0.5, listed: Some(1.0), mute: false },
+            Return { down, long: 14, load: 1.3, one_has: 0.2, listed: Some(1.0), mute: false },
+            Return { down, long: 10, load: 0.9, one_has: 0.2, listed: Some(1.5), mute: false },
+            Return { down, long: 10, load: 0.9, one_has: 0.2, listed: None, mute: false },
+            Return { down, long: 4, load: 0.87, one_has: 0.35, listed: Some(1.0), mute: true },
         ]
     })
 }
@@ -117,6 +119,7 @@
         outage,
         down: r.down,
         listed: r.listed,
+        mute: r.mute,
         ..Scene::new(senders, r.load)
     };
     play(scene, seed)
@@ -153,9 +156,21 @@
 /// one, no trial was made for up to eighteen seconds, and forty-five calls left in one turn.
 #[test]
 fn a_sender_alone_does_not_send_all_at_once_to_one_that_comes_back() {
-    let r = Return { down: Down::Refuses, long: 10, load: 0.9, one_has: 0.2, listed: None };
+    let r = Return { down: Down::Refuses, long: 10, load: 0.9, one_has: 0.2, listed: None, mute: false };
     for seed in 1..=40 {
         let played = comes_back(1, 15.0, r, seed);
         assert!(played.excess.0 <= 0.0, "seed {seed}: {:.1} over", played.excess.0);
     }
 }
+
+/// Each takes the whole budget for its own: planted, and seen at every size of fleet.
+#[test]
+fn senders_that_each_take_the_whole_budget_are_seen() {
+    for senders in [20, 30, 300] {
+        let (down, outage) = (Down::Errs, Some((6 * SEC, 11 * SEC)));
+        let scene =
+            Scene { down, outage, one_has: 0.2, mute: true, each_alone: true, ..Scene::new(senders, 0.9) };
+        let worst = (1..=3).map(|seed| play(scene, seed).excess.0).fold(f64::NEG_INFINITY, f64::max);
+        assert!(worst > 0.0, "{senders} senders: {worst:.1}");
+    }
+}
--- a/crates/policy/tests/fleet/play.rs
+++ b/crates/policy/tests/fleet/play.rs
@@ -30,6 +30,10 @@
     pub down: Down,
     /// What the list says of the limit, as a multiple of it; nothing, and nothing in answers either.
     pub listed: Option<f64>,
+    /// See [`Destination::mute`].
+    pub mute: bool,
+    /// Each sender is told that there is no other.
+    pub each_alone: bool,
     /// Most connections, as a multiple of the senders.
     pub connections: Option<f64>,
     /// Seven in ten senders start again then, with what they held.
@@ -49,6 +53,8 @@
             outage: None,
             down: Down::default(),
             listed: Some(1.0),
+            mute: false,
+            each_alone: false,
             connections: None,
             restart: None,
             keeps: false,
@@ -88,7 +94,7 @@
         classes: vec![class(Effect::Keyed { life: 6 * SEC, per_zone: false })],
         kinds: vec![Kind { routes_apart: false, batch: 1 }],
         decay: Decay::Halves,
-        senders,
+        senders: if scene.each_alone { 1 } else { senders },
         // As the platform gives them: twice what the even part keeps busy, and some seconds of it held.
         slots: (60 / senders).max(4),
         open_cap: (800 / senders).max(50),
@@ -162,7 +168,7 @@
     let start = 100 * SEC;
     let mut dest = Destination::new(scene.limit, start, 5 * SEC);
     dest.outage = scene.outage.map(|(from, until)| (start + from, start + until));
-    dest.down = scene.down;
+    (dest.down, dest.mute) = (scene.down, scene.mute);
     dest.most_connections =
         scene.connections.map_or(usize::MAX, |part| ((scene.senders as f64 * part) as usize).max(1));
     let new = |i| Sender {
