Hear a call out that was just written before it is called off; no second connection

Ruled out: lost waits (heads were whole), holds, the module's clock. At fault: a call-off counts from the decision, so a call whose connection took long is called off just after its first byte, while its answer, and a wait in it, is on its way (calls.rs, `Order::CallOff`). The second connection of made that order frequent: connections came up at 750 ms, calls are overdue at 800.

A call that was written less than 250 ms ago is heard out before it is called off.

--- a/crates/http/src/calls.rs
+++ b/crates/http/src/calls.rs
@@ -10,18 +10,15 @@
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use serde::{Deserialize, Serialize};
-use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
-use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::Semaphore;
 use tokio::sync::mpsc::Sender;
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep, sleep_until};
 #[cfg(feature = "gate")]
 use yarrowhill_engine::CallWent;
 use yarrowhill_engine::{AttemptEnd, Call, CallEnd, Input, Item, Order};
-use yarrowhill_policy::api::{Micros, Outcome, Report};
+use yarrowhill_policy::api::{MessageId, Micros, Outcome, Report};
 use yarrowhill_settings::read_report;
 
 /// Longest that a call is held back with a slot and a connection before it goes back to the module.
@@ -31,6 +28,9 @@
 const STOPPED: Duration = Duration::from_millis(100);
 /// After that so much time is given to what came meanwhile: a drain or a wait is read before a byte leaves.
 const CATCH_UP: Duration = Duration::from_millis(30);
+/// A call that was written less than so long ago is not called off yet. Its answer is most likely on its way, and what it
+/// tells binds whether it is read or not: a wait counts as told when it is written.
+const HEARD_OUT: Duration = Duration::from_millis(250);
 /// Longest answer that is read.
 const ANSWER_MOST: usize = 64 << 10;
 /// Longest wait that is believed (ms): far longer than any that is meant, and one that was spoilt on its way does
@@ -44,12 +44,20 @@
     mut connection: Option<Connection>,
     results: Sender<Input>,
     gate: Gated,
-    spares: Spares,
-    keep: impl Fn(Connection) + Clone + Send + 'static,
+    keep: impl FnOnce(Connection),
 ) {
-    let waiting = std::mem::take(&mut call.items);
-    let mut pending =
-        Pending { call, results, waiting, given_up: Vec::new(), late: false, held: false, several: false };
+    let (waiting, now) = (std::mem::take(&mut call.items), Instant::now());
+    let mut pending = Pending {
+        call,
+        results,
+        waiting,
+        given_up: Vec::new(),
+        late: false,
+        held: false,
+        several: false,
+        heard_out: now,
+        called_off: Vec::new(),
+    };
     #[cfg(feature = "gate")]
     let mut began = Instant::now();
     let answer = loop {
@@ -63,8 +71,7 @@
         let stopped = if kept {
             pending.call.decided.elapsed() > STOPPED
         } else {
-            let (to, limit) = (pending.call.to, pending.call.connect_timeout);
-            let opening = unstopped(open(to, limit, &spares, keep.clone()));
+            let opening = unstopped(Connection::open(pending.call.to, pending.call.connect_timeout));
             match pending.during(opening, Stage::Connecting).await {
                 Some((Ok(open), stopped)) => {
                     connection = Some(open);
@@ -101,6 +108,7 @@
         #[cfg(feature = "gate")]
         (began = Instant::now());
         pending.several = pending.waiting.len() > 1;
+        pending.heard_out = Instant::now() + HEARD_OUT;
         let begin_by = pending.waiting.iter().map(|i| Stage::Connecting.ends(i)).min();
         let exchange = exchange(open, request, begin_by);
         match pending.during(exchange, Stage::Written).await {
@@ -131,42 +139,6 @@
     pending.tell().await;
 }
 
-/// Places for connections that are opened beside others.
-pub(crate) type Spares = Arc<Semaphore>;
-
-/// Opens a connection; where it is not up after half its time, a second one beside it, since the first may come up late
-/// or never. Whichever is up first is used. The other is kept once it is up, or closed when its time is over; both are
-/// closed if the call ends meanwhile.
-async fn open(
-    to: SocketAddr,
-    limit: Duration,
-    spares: &Spares,
-    keep: impl FnOnce(Connection) + Send + 'static,
-) -> io::Result<Connection> {
-    let mut first = Box::pin(Connection::open(to, limit));
-    if let Ok(done) = timeout(limit / 2, &mut first).await {
-        return done;
-    }
-    let Ok(place) = spares.clone().try_acquire_owned() else { return first.await };
-    let mut second = Box::pin(Connection::open(to, limit));
-    let (done, other) = tokio::select! {
-        biased;
-        // Its time is what the settings allow: the call does not wait for longer.
-        done = &mut first => (done, second),
-        done = &mut second => match done {
-            Err(_) => return first.await,
-            done => (done, first),
-        },
-    };
-    tokio::spawn(async move {
-        if let Ok(late) = other.await {
-            keep(late);
-        }
-        drop(place);
-    });
-    done
-}
-
 /// Waits for `work`, and tells whether the process was stopped just before it was done.
 async fn unstopped<T>(work: impl Future<Output = T>) -> (T, bool) {
     let mut work = pin!(work);
@@ -207,6 +179,10 @@
     held: bool,
     /// What was written last was for several messages.
     several: bool,
+    /// It is heard out until then.
+    heard_out: Instant,
+    /// Attempts that are called off then.
+    called_off: Vec<(MessageId, usize)>,
 }
 
 impl Pending {
@@ -220,6 +196,11 @@
                 biased;
                 done = &mut work => return Some(done),
                 () = sleep_until(until) => self.expire(stage, Instant::now()),
+                () = sleep_until(self.heard_out), if !self.called_off.is_empty() => {
+                    for (id, attempt) in std::mem::take(&mut self.called_off) {
+                        self.part(Outcome::Cancelled, |i| (i.id, i.attempt) == (id, attempt));
+                    }
+                }
                 Some(order) = self.call.orders.recv() => self.obey(order, stage),
             }
             // Guards the rule on second copies where none is allowed: the module may send an attempt that ended
@@ -239,6 +220,9 @@
 
     fn obey(&mut self, order: Order, stage: Stage) {
         match order {
+            Order::CallOff(id, attempt) if stage == Stage::Written && Instant::now() < self.heard_out => {
+                self.called_off.push((id, attempt));
+            }
             Order::CallOff(id, attempt) => {
                 let outcome = if stage == Stage::Written { Outcome::Cancelled } else { Outcome::NotSent };
                 self.part(outcome, |i| (i.id, i.attempt) == (id, attempt));
@@ -311,6 +295,9 @@
 
     async fn tell(&mut self) {
         let ended = std::mem::take(&mut self.given_up);
+        if ended.is_empty() {
+            return;
+        }
         // The engine is gone only when the process ends.
         let _ = self.results.send(Input::Call(CallEnd { endpoint: self.call.endpoint, ended })).await;
     }
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -1,12 +1,11 @@
 //! The transport over HTTP/1.1: calls as tasks, and the idle connections between them.
 
-use crate::calls::{self, Spares};
+use crate::calls;
 use crate::connection::Connection;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::sync::Semaphore;
 use tokio::sync::mpsc::Sender;
 use tokio::time::Instant;
 #[cfg(feature = "gate")]
@@ -19,9 +18,6 @@
 /// An idle connection is given up this part of the peer's limit early: a request must not cross its closing.
 const IDLE_MARGIN: u32 = 8;
 
-/// One in so many places for idle connections is for those that are opened beside a slow one.
-const SPARE_PART: usize = 4;
-
 /// Makes calls over HTTP/1.1, one task each, and keeps connections between them.
 ///
 /// ```
@@ -33,7 +29,6 @@
 pub struct Pool {
     shared: Arc<Mutex<Shared>>,
     idle_limit: Duration,
-    spares: Spares,
     gate: Gated,
 }
 
@@ -104,11 +99,9 @@
 impl Pool {
     /// Keeps at most `idle_most` idle connections, each for a little less than the peers' `idle_close`.
     pub fn new(idle_most: usize, idle_close: Duration) -> Self {
-        let spares = idle_most / SPARE_PART;
-        let shared = Shared { endpoints: HashMap::new(), idle: 0, idle_most: idle_most - spares };
+        let shared = Shared { endpoints: HashMap::new(), idle: 0, idle_most };
         let idle_limit = idle_close - idle_close / IDLE_MARGIN;
-        let spares = Arc::new(Semaphore::new(spares));
-        Pool { shared: Arc::new(Mutex::new(shared)), idle_limit, spares, gate: Gated::default() }
+        Pool { shared: Arc::new(Mutex::new(shared)), idle_limit, gate: Gated::default() }
     }
 
     /// The same with a gate that is looked at just before the first byte of each call.
@@ -153,8 +146,9 @@
         let (endpoint, to) = (call.endpoint, call.to);
         let idle = self.lock().take(endpoint, to);
         let shared = self.shared.clone();
-        let keep = move |connection| lock(&shared).keep(endpoint, to, connection);
-        tokio::spawn(calls::make(call, idle, results, self.gate.clone(), self.spares.clone(), keep));
+        tokio::spawn(calls::make(call, idle, results, self.gate.clone(), move |connection| {
+            lock(&shared).keep(endpoint, to, connection);
+        }));
     }
 
     fn endpoint(&mut self, endpoint: EndpointId, keep: Option<SocketAddr>) {
--- a/crates/yarrowhill/tests/rare.rs
+++ b/crates/yarrowhill/tests/rare.rs
@@ -327,6 +327,40 @@
     }
 }
 
+/// Idle clients come for every descriptor there is, discovery says nothing, and the program starts anew meanwhile: it is
+/// ready soon, messages are taken on and delivered, and the bound on descriptors holds.
+#[tokio::test]
+async fn idle_clients_and_a_silent_discovery_shut_nobody_out() {
+    const DESCRIPTORS: u64 = 64;
+    let (silent, mut stub, discovery) = (Raw::start().await, Stub::start().await, Discovery::start().await);
+    let known = [target("t", stub.addr, 7, "plain", "in_service")];
+    let at = silent.addr;
+    let settings = |c: &mut Value| {
+        c["discovery"] = json!(at.to_string());
+        c["limits"]["sockets"] = json!(DESCRIPTORS);
+    };
+    let mut f = Forwarder::start(&discovery, &known, settings).await;
+    for round in 0..2 {
+        let mut idle = Vec::new();
+        for n in 0..100 {
+            if let Ok(Ok(stream)) = timeout(QUIET, TcpStream::connect(f.addr)).await {
+                idle.push(stream);
+            }
+            if n % 20 == 19 {
+                let id = format!("m{round}-{n}");
+                assert_eq!(f.hand_in("keyed", &id, 9000).await.status(), 202);
+                stub.next().await.answer(200);
+                let open = f.descriptors();
+                assert!(open <= DESCRIPTORS, "{open} descriptors");
+            }
+        }
+        f.kill();
+        let start = Instant::now();
+        f.restart().await;
+        assert!(start.elapsed() < Duration::from_secs(5), "ready after {:?}", start.elapsed());
+    }
+}
+
 // ---- Calls ----
 
 /// A wait stands in a head that is whole; the body behind it is not.
--- a/crates/yarrowhill/tests/support/mod.rs
+++ b/crates/yarrowhill/tests/support/mod.rs
@@ -315,6 +315,12 @@
         timeout(SOON, stopped).await.expect("it stops");
     }
 
+    /// Descriptors that it holds.
+    pub fn descriptors(&self) -> u64 {
+        let open = fs::read_dir(format!("/proc/{}/fd", self.process.id())).expect("it lives");
+        open.count() as u64
+    }
+
     /// SIGCONT.
     pub fn go_on(&self) {
         self.signal("-CONT");
