--- a/crates/policy/src/balancer/scope.rs
+++ b/crates/policy/src/balancer/scope.rs
@@ -124,7 +124,7 @@
         self.ceiling.unwrap_or(0.0) * e.part
     }
 
-    /// A told limit far from the listed one was spoilt on its way: it would starve the destination or flood it.
+    /// A told limit far from the listed one was spoilt on its way: it would starve or flood the destination.
     pub(super) fn believes(&self, limit: f64) -> bool {
         let listed = if self.listed > 0.0 { self.listed } else { 10.0 };
         let times = if self.listed > 0.0 { REPORT_TIMES } else { REPORT_TIMES * REPORT_TIMES };
@@ -273,7 +273,7 @@
             }
             State::Warming(since) if (now - since) as f64 > e.warm => self.state = State::Open,
             State::Warming(_) if took < ROOM_TIMES * self.usual => {
-                // The whole budget where it is told; else no more beyond what it took before than warmth makes.
+                // All of the budget where it is told; else no more than warmth makes of what it took before.
                 let most = if self.is_told() { 1.0 } else { 1.0 / e.s.start_capacity };
                 self.boost = (self.boost * GROW).min(most);
             }
