--- a/crates/http/tests/calls.rs
+++ b/crates/http/tests/calls.rs
@@ -243,6 +243,18 @@
     (order, news)
 }
 
+/// A call with so much time that has been written, and the endpoint's side of it.
+async fn written(
+    left: Duration,
+) -> (TcpStream, mpsc::Sender<yarrowhill_engine::Order>, mpsc::Receiver<Input>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let to = listener.local_addr().expect("an address");
+    let (order, news) = call_to(to, Instant::now() + left);
+    let (mut stream, _) = listener.accept().await.expect("it calls");
+    assert!(stream.read(&mut [0; 4096]).await.expect("it writes") > 0);
+    (stream, order, news)
+}
+
 async fn next(news: &mut mpsc::Receiver<Input>) -> CallEnd {
     match timeout(SOON * 20, news.recv()).await.expect("it ends") {
         Some(Input::Call(end)) => end,
@@ -254,11 +266,7 @@
 /// out, and a message that must not run twice was given up, or one that may was sent again.
 #[tokio::test]
 async fn a_first_line_just_before_the_time_is_up_delivers() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let to = listener.local_addr().expect("an address");
-    let (_order, mut news) = call_to(to, Instant::now() + SOON * 2);
-    let (mut stream, _) = listener.accept().await.expect("it calls");
-    assert!(stream.read(&mut [0; 4096]).await.expect("it writes") > 0);
+    let (mut stream, _order, mut news) = written(SOON * 2).await;
     tokio::io::AsyncWriteExt::write_all(&mut stream, b"HTTP/1.1 200 OK\r\nContent-Len")
         .await
         .expect("it reads");
@@ -270,11 +278,7 @@
 /// Also where the attempt is called off in that moment.
 #[tokio::test]
 async fn a_first_line_just_before_a_call_is_called_off_delivers() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let to = listener.local_addr().expect("an address");
-    let (order, mut news) = call_to(to, Instant::now() + SOON * 20);
-    let (mut stream, _) = listener.accept().await.expect("it calls");
-    assert!(stream.read(&mut [0; 4096]).await.expect("it writes") > 0);
+    let (mut stream, order, mut news) = written(SOON * 20).await;
     tokio::io::AsyncWriteExt::write_all(&mut stream, b"HTTP/1.1 200 OK\r\n").await.expect("it reads");
     tokio::time::sleep(SOON).await;
     order.send(yarrowhill_engine::Order::CallOff(1, 0)).await.expect("it is out");
@@ -299,11 +303,7 @@
 /// wait was on its way, and the next call went out within that wait.
 #[tokio::test]
 async fn a_call_that_was_just_written_is_heard_out_before_it_is_called_off() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let to = listener.local_addr().expect("an address");
-    let (order, mut news) = call_to(to, Instant::now() + SOON * 20);
-    let (mut stream, _) = listener.accept().await.expect("it calls");
-    assert!(stream.read(&mut [0; 4096]).await.expect("it writes") > 0);
+    let (mut stream, order, mut news) = written(SOON * 20).await;
     order.send(yarrowhill_engine::Order::CallOff(1, 0)).await.expect("it is out");
     assert!(timeout(SOON / 3, news.recv()).await.is_err(), "it was not heard out");
     let answer = b"HTTP/1.1 429 Busy\r\nWait-Ms: 700\r\nContent-Length: 0\r\n\r\n";
@@ -315,11 +315,7 @@
 /// Without an answer it is called off all the same, soon.
 #[tokio::test]
 async fn a_call_that_is_heard_out_in_vain_is_called_off() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let to = listener.local_addr().expect("an address");
-    let (order, mut news) = call_to(to, Instant::now() + SOON * 20);
-    let (mut stream, _) = listener.accept().await.expect("it calls");
-    assert!(stream.read(&mut [0; 4096]).await.expect("it writes") > 0);
+    let (_stream, order, mut news) = written(SOON * 20).await;
     let since = Instant::now();
     order.send(yarrowhill_engine::Order::CallOff(1, 0)).await.expect("it is out");
     assert_eq!(ended(&next(&mut news).await), [(1, Outcome::Cancelled)]);
