--- a/crates/membership/src/core.rs
+++ b/crates/membership/src/core.rs
@@ -369,7 +369,7 @@
                 if self.unsure.is_some_and(|(after, _)| seq > after) {
                     self.unsure = None;
                 }
-                if let Some(ask) = self.detector.acked(seq) {
+                if let Some(ask) = self.detector.acked(seq, from) {
                     self.ask(now, ask);
                 }
             }
@@ -473,12 +473,22 @@
     }
 
     fn send(&mut self, to: MemberId, body: Body) {
+        self.send_about(to, body, None);
+    }
+
+    /// The same, with what is known of a third first. Guards one that is suspected and answers through helpers: the word
+    /// by which it refuted that may have passed by whoever asks, and no header of its own comes there.
+    fn send_about(&mut self, to: MemberId, body: Body, third: Option<MemberId>) {
         // Before the boot is on disk, and while another speaks under the same name, nothing is said. Probes of a
         // doubled one would keep a quarrel alive.
         if self.identity.is_mute() || self.identity.is_doubled(self.seen, self.timing.forget) {
             return;
         }
-        let updates = self.members.words(to, UPDATES_MOST);
+        let mut updates = self.members.words(to, UPDATES_MOST - usize::from(third.is_some()));
+        if let Some(word) = third.and_then(|id| self.members.word(id)) {
+            updates.retain(|update| update.about != word.about);
+            updates.insert(0, word);
+        }
         let packet = Packet { header: self.header(), body, updates };
         self.outputs.push(Output::Send { to, packet });
     }
@@ -486,8 +496,10 @@
     fn ask(&mut self, now: Micros, ask: Ask) {
         match ask {
             Ask::Ping(to, seq) => self.send(to, Body::Ping { seq }),
-            Ask::PingFor(to, seq, target) => self.send(to, Body::PingFor { seq, target }),
-            Ask::Ack(to, seq) => self.send(to, Body::Ack { seq }),
+            Ask::PingFor(to, seq, target) => {
+                self.send_about(to, Body::PingFor { seq, target }, Some(target));
+            }
+            Ask::Ack(to, seq, target) => self.send_about(to, Body::Ack { seq }, Some(target)),
             Ask::Nack(to, seq) => self.send(to, Body::Nack { seq }),
             Ask::Silent(id) => {
                 let Some(record) = self.members.get(id).map(|e| e.record).filter(|r| r.health.is_there())
--- a/crates/membership/src/detector.rs
+++ b/crates/membership/src/detector.rs
@@ -1,11 +1,12 @@
 //! Probes, suspicion and local health: SWIM with what Lifeguard adds. Knows no packets: it says whom to ask.
 
 use crate::id::{MemberId, Micros};
-use rand::seq::SliceRandom;
+use rand::seq::{IteratorRandom, SliceRandom};
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Others that are asked to try where one's own probe was not answered.
+/// Others that are asked to try where one's own probe was not answered; so many further ones where they had no answer
+/// either.
 pub const HELPERS: usize = 3;
 /// Local health goes from 0 to this: all own times are up to so many times as long and one. Lifeguard goes to 8; here a
 /// process sees by its own clock that it was slow, and in a small island, where most helpers are gone as well, a
@@ -86,7 +87,7 @@
     helped_at: Micros,
     /// and it is given up then.
     ends: Micros,
-    helpers: usize,
+    helpers: Vec<MemberId>,
     nacks: usize,
     acked: bool,
 }
@@ -96,6 +97,7 @@
 struct Forward {
     origin: MemberId,
     origin_seq: u64,
+    target: MemberId,
     nack_at: Micros,
     ends: Micros,
     nacked: bool,
@@ -108,8 +110,8 @@
     Ping(MemberId, u64),
     /// Ask one to ask another.
     PingFor(MemberId, u64, MemberId),
-    /// Tell who asked that the other is there.
-    Ack(MemberId, u64),
+    /// Tell who asked that the other, named last, is there.
+    Ack(MemberId, u64, MemberId),
     /// Tell who asked that the other has not answered yet.
     Nack(MemberId, u64),
     /// It did not answer in time.
@@ -125,6 +127,11 @@
     next_probe: Micros,
     seq: u64,
     forwards: BTreeMap<u64, Forward>,
+    /// Of members that answered through a helper: which. Two halves of a fleet that one member joins know each other
+    /// through it alone, and helpers drawn by chance would miss it again and again.
+    ways: BTreeMap<MemberId, MemberId>,
+    /// The last probe that was given up: helpers may still bring an answer to it.
+    given_up: Option<(u64, MemberId)>,
     /// Its own health.
     pub health: LocalHealth,
 }
@@ -139,6 +146,8 @@
             next_probe: first,
             seq: 0,
             forwards: BTreeMap::new(),
+            ways: BTreeMap::new(),
+            given_up: None,
             health: LocalHealth::default(),
         }
     }
@@ -146,7 +155,7 @@
     /// When there is something to do.
     pub fn next_look(&self) -> Micros {
         let probe = self.probe.as_ref().filter(|p| !p.acked);
-        let probe = probe.map_or(Micros::MAX, |p| if p.helpers == 0 { p.helped_at } else { p.ends });
+        let probe = probe.map_or(Micros::MAX, |p| if p.helpers.is_empty() { p.helped_at } else { p.ends });
         let forwards = self.forwards.values().map(|f| if f.nacked { f.ends } else { f.nack_at });
         forwards.min().unwrap_or(Micros::MAX).min(probe).min(self.next_probe)
     }
@@ -175,7 +184,14 @@
             if probe.nacks == 0 {
                 self.health.worse(1);
             }
+            // First the word of it: whoever reaches the member takes it along, and brings the answer back.
             out.push(Ask::Silent(probe.target));
+            let asked = probe.helpers.iter().chain([&probe.target]);
+            let asked: Vec<MemberId> = asked.copied().collect();
+            let further = others.iter().copied().filter(|id| !asked.contains(id));
+            let further: Vec<MemberId> = further.sample(rng, HELPERS);
+            out.extend(further.into_iter().map(|helper| Ask::PingFor(helper, probe.seq, probe.target)));
+            self.given_up = Some((probe.seq, probe.target));
         }
         if now >= self.next_probe && self.probe.as_ref().is_none_or(|p| p.acked) {
             let span = self.period * self.health.factor();
@@ -184,23 +200,25 @@
                 let seq = self.number();
                 out.push(Ask::Ping(target, seq));
                 let (helped_at, ends) = (now + span * 2 / 5, now + span);
-                Probe { seq, target, helped_at, ends, helpers: 0, nacks: 0, acked: false }
+                Probe { seq, target, helped_at, ends, helpers: Vec::new(), nacks: 0, acked: false }
             });
         }
     }
 
     fn help(&mut self, now: Micros, others: &[MemberId], rng: &mut ChaCha8Rng, out: &mut Vec<Ask>) {
         let Some(probe) = self.probe.as_mut() else { return };
-        if probe.acked || probe.helpers > 0 || now < probe.helped_at || now >= probe.ends {
+        if probe.acked || !probe.helpers.is_empty() || now < probe.helped_at || now >= probe.ends {
             return;
         }
-        let mut helpers: Vec<MemberId> = others.iter().copied().filter(|id| *id != probe.target).collect();
-        let (chosen, _) = helpers.partial_shuffle(rng, HELPERS);
-        probe.helpers = chosen.len();
-        out.extend(chosen.iter().map(|helper| Ask::PingFor(*helper, probe.seq, probe.target)));
+        let way = self.ways.get(&probe.target).filter(|helper| others.contains(helper)).copied();
+        let by_chance = others.iter().copied().filter(|id| *id != probe.target && Some(*id) != way);
+        let by_chance: Vec<MemberId> = by_chance.sample(rng, HELPERS - usize::from(way.is_some()));
+        probe.helpers = way.into_iter().chain(by_chance).collect();
+        let ask = |helper: &MemberId| Ask::PingFor(*helper, probe.seq, probe.target);
+        out.extend(probe.helpers.iter().map(ask));
         // Once more by itself: the first may have been lost alone.
         out.push(Ask::Ping(probe.target, probe.seq));
-        if probe.helpers == 0 {
+        if probe.helpers.is_empty() {
             probe.helped_at = probe.ends;
         }
     }
@@ -216,6 +234,7 @@
             }
             self.ring = others.to_vec();
             self.ring.shuffle(rng);
+            self.ways.retain(|target, _| others.contains(target));
         }
         None
     }
@@ -234,14 +253,22 @@
         let seq = self.number();
         // The other waits for three fifths of its period; a word in time must be under way before that.
         let (nack_at, ends) = (now + self.period * 2 / 5, now + self.period * 2);
-        self.forwards.insert(seq, Forward { origin, origin_seq, nack_at, ends, nacked: false });
+        self.forwards.insert(seq, Forward { origin, origin_seq, target, nack_at, ends, nacked: false });
         Some(Ask::Ping(target, seq))
     }
 
-    /// An answer to a probe has come; whom that answers in turn.
-    pub fn acked(&mut self, seq: u64) -> Option<Ask> {
+    /// An answer to a probe has come, from the member itself or from a helper; whom that answers in turn.
+    pub fn acked(&mut self, seq: u64, from: MemberId) -> Option<Ask> {
         if let Some(forward) = self.forwards.remove(&seq) {
-            return Some(Ask::Ack(forward.origin, forward.origin_seq));
+            return Some(Ask::Ack(forward.origin, forward.origin_seq, forward.target));
+        }
+        let out = self.probe.as_ref().map(|p| (p.seq, p.target));
+        if let Some((_, target)) = out.into_iter().chain(self.given_up).find(|(number, _)| *number == seq) {
+            if from == target {
+                self.ways.remove(&target);
+            } else {
+                self.ways.insert(target, from);
+            }
         }
         if let Some(probe) = self.probe.as_mut().filter(|p| p.seq == seq && !p.acked) {
             probe.acked = true;
@@ -282,7 +309,7 @@
             let Some(Ask::Ping(id, seq)) = out.first() else { panic!("{out:?}") };
             let before = last.insert(*id, round).unwrap_or(0);
             assert!(round - before < 40, "{id:?} waited {}", round - before);
-            detector.acked(*seq);
+            detector.acked(*seq, *id);
         }
         assert_eq!(last.len(), 20);
     }
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -226,10 +226,15 @@
         words
     }
 
+    /// The word that counts of a member, if anything is known of it.
+    pub fn word(&self, id: MemberId) -> Option<Update> {
+        let entry = self.entries.get(&id).filter(|e| e.record.health != Health::Unknown)?;
+        Some(Update { about: id, record: entry.record, by: entry.by.unwrap_or(id) })
+    }
+
     /// A word about every member that anything is known of.
     pub fn all_words(&self) -> Vec<Update> {
-        let known = self.entries.iter().filter(|(_, e)| e.record.health != Health::Unknown);
-        known.map(|(id, e)| Update { about: *id, record: e.record, by: e.by.unwrap_or(*id) }).collect()
+        self.entries.keys().filter_map(|id| self.word(*id)).collect()
     }
 
     /// Another roster. Those that leave are remembered for a while, so that old words about them do not count if they
