Hear what was on its way as a call is given up, and share out the descriptors there are

(1) A call that was called off later than 250 ms after its first byte, or whose time was up, was closed at once: an answer on its way was lost, with its wait (which counts as told when it is written) or its 200 (calls.rs, make: close after during() gave none). (2) Where the system gives fewer descriptors than the configuration names, idle clients took all of them, and no call could have a connection: 'call 0 does not come, 64 descriptors' (config.rs: limits.sockets believed as it stands).

Change: giving up ends sending first, which gives the call up by the protocol, and reads on for two round trips and 20 ms, 40 ms at the most, or until the other side ends; what comes tells how the attempts ended. Only then the connection is closed and they are told of. The descriptors are bounded by the process's own limit. That none could be accepted is told once a second, not every 10 ms.

The test of closing where no second copies may go now asks for a reset behind the end of sending.

--- a/crates/http/src/calls.rs
+++ b/crates/http/src/calls.rs
@@ -1,6 +1,6 @@
 //! Calls to endpoints: one connection carries one call at a time, and each message in it gets its outcome.
 
-use crate::connection::{self, Broken, Connection};
+use crate::connection::{self, Broken, Connection, GiveUp};
 use crate::pool::Gated;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
@@ -11,10 +11,10 @@
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::time::Duration;
 use tokio::sync::mpsc::Sender;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 #[cfg(feature = "gate")]
 use yarrowhill_engine::CallWent;
 use yarrowhill_engine::{AttemptEnd, Call, CallEnd, Input, Item, Order};
@@ -52,6 +52,7 @@
         results,
         waiting,
         given_up: Vec::new(),
+        gone: Vec::new(),
         late: false,
         held: false,
         several: false,
@@ -60,7 +61,7 @@
     };
     #[cfg(feature = "gate")]
     let mut began = Instant::now();
-    let answer = loop {
+    let (answer, given_up) = loop {
         connection = connection.filter(Connection::is_open);
         let kept = connection.is_some();
         pending.heed();
@@ -77,7 +78,7 @@
                     connection = Some(open);
                     stopped
                 }
-                Some((Err(_), _)) => break Some(Err(Silence::NeverRan)),
+                Some((Err(_), _)) => break (Some(Err(Silence::NeverRan)), false),
                 // Nothing of it was written, and the socket is gone.
                 None => return pending.tell().await,
             }
@@ -110,8 +111,15 @@
         pending.several = pending.waiting.len() > 1;
         pending.heard_out = Instant::now() + HEARD_OUT;
         let begin_by = pending.waiting.iter().map(|i| Stage::Connecting.ends(i)).min();
-        let exchange = exchange(open, request, begin_by);
-        match pending.during(exchange, Stage::Written).await {
+        let give_up = open.give_up();
+        let (answer, given_up) = {
+            let mut exchange = pin!(exchange(open, request, begin_by));
+            match pending.during(exchange.as_mut(), Stage::Written).await {
+                Some(answer) => (Some(answer), false),
+                None => (pending.last_word(exchange, &give_up).await, true),
+            }
+        };
+        match answer {
             // A connection that was kept has turned out to be of no use, or its first byte was too late for some: what may
             // still begin goes by another one, and what was held meanwhile goes back.
             Some(Err(Silence::Unwritten))
@@ -119,23 +127,22 @@
             {
                 connection = None;
             }
-            answer => break answer,
+            answer => break (answer, given_up),
         }
     };
     #[cfg(feature = "gate")]
     if let Some(how) = went(&answer, pending.late) {
         gate.ended(pending.call.dest, began.elapsed(), how);
     }
-    let Some(answer) = answer else {
-        if let Some(open) = connection.take() {
-            pending.reconsider(open.status());
-            open.close().await;
-        }
-        return pending.tell().await;
-    };
-    let whole = answer.as_ref().is_ok_and(|a| a.whole && !a.spoilt);
-    connection.filter(|_| whole).map(keep);
-    pending.given_up.extend(outcomes(&pending.waiting, &answer));
+    if given_up && let Some(open) = connection.take() {
+        pending.reconsider(open.status());
+        open.close().await;
+    }
+    if let Some(answer) = answer {
+        let whole = answer.as_ref().is_ok_and(|a| a.whole && !a.spoilt);
+        connection.filter(|_| whole).map(keep);
+        pending.given_up.extend(outcomes(&pending.waiting, &answer));
+    }
     pending.tell().await;
 }
 
@@ -173,6 +180,8 @@
     results: Sender<Input>,
     waiting: Vec<Item>,
     given_up: Vec<AttemptEnd>,
+    /// The messages of those that were written.
+    gone: Vec<Item>,
     /// One of them was written and had no answer in its time.
     late: bool,
     /// Nothing of it that is not written yet may be.
@@ -218,6 +227,23 @@
         }
     }
 
+    /// Gives the call up, and hears what was on its way by then. Guards the rules on waits and on second copies: a wait
+    /// counts as told when it is written, and a message that has been delivered must not go out again.
+    async fn last_word(
+        &mut self,
+        exchange: Pin<&mut impl Future<Output = Result<Answer, Silence>>>,
+        give_up: &GiveUp,
+    ) -> Option<Result<Answer, Silence>> {
+        give_up.end_sending();
+        let answer = timeout(give_up.last, exchange).await.ok().filter(Result::is_ok);
+        if answer.is_some() {
+            // It tells how those ended that have not been told of.
+            self.given_up.clear();
+            self.waiting.append(&mut self.gone);
+        }
+        answer
+    }
+
     fn obey(&mut self, order: Order, stage: Stage) {
         match order {
             Order::CallOff(id, attempt) if stage == Stage::Written && Instant::now() < self.heard_out => {
@@ -282,8 +308,10 @@
 
     /// Moves those that meet the condition to the ended ones.
     fn part(&mut self, outcome: Outcome, gone: impl Fn(&Item) -> bool) {
-        let gone = self.waiting.extract_if(.., |item| gone(item));
-        self.given_up.extend(gone.map(|item| end(&item, outcome)));
+        for item in self.waiting.extract_if(.., |item| gone(item)) {
+            self.given_up.push(end(&item, outcome));
+            self.gone.push(item);
+        }
     }
 
     /// A single message whose first line has come is delivered, also where its time was up before the rest came.
@@ -295,6 +323,7 @@
 
     async fn tell(&mut self) {
         let ended = std::mem::take(&mut self.given_up);
+        self.gone.clear();
         if ended.is_empty() {
             return;
         }
--- a/crates/http/src/clients.rs
+++ b/crates/http/src/clients.rs
@@ -44,6 +44,8 @@
 const LEAVING_PART: usize = 8;
 /// Out of descriptors, or of memory for one: so long until the next try.
 const EXHAUSTED: Duration = Duration::from_millis(10);
+/// It is told no more often than this.
+const TELL_EVERY: Duration = Duration::from_secs(1);
 /// All that a client hears for whom there is no room.
 const NO_ROOM: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
@@ -54,8 +56,14 @@
     let mut phase = intake.phase();
     let leaving_most = (most / LEAVING_PART).max(1);
     let most = most.saturating_sub(leaving_most).max(1);
-    let mut clients =
-        Clients { most, leaving_most, open: Vec::new(), leaving: Vec::new(), tasks: JoinSet::new() };
+    let mut clients = Clients {
+        most,
+        leaving_most,
+        open: Vec::new(),
+        leaving: Vec::new(),
+        tasks: JoinSet::new(),
+        told: None,
+    };
     tokio::select! {
         () = clients.accept(&listener, intake) => {}
         _ = phase.wait_for(|p| *p == Phase::Shut) => {}
@@ -80,6 +88,8 @@
     leaving: Vec<AbortHandle>,
     leaving_most: usize,
     tasks: JoinSet<()>,
+    /// When it was last told that none could be accepted.
+    told: Option<Instant>,
 }
 
 struct Client {
@@ -170,7 +180,10 @@
         if e.kind() == io::ErrorKind::ConnectionAborted {
             return;
         }
-        tracing::warn!("intake: {e}");
+        if self.told.is_none_or(|at| at.elapsed() > TELL_EVERY) {
+            self.told = Some(Instant::now());
+            tracing::warn!("intake: {e}");
+        }
         self.make_room();
         self.leaving.drain(..).for_each(|task| task.abort());
         sleep(EXHAUSTED).await;
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -12,12 +12,12 @@
 use socket2::SockRef;
 use std::io;
 use std::mem::MaybeUninit;
-use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::net::{Shutdown, SocketAddr};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -25,6 +25,11 @@
 const BUFFER: usize = 16 << 10;
 /// Once an answer has begun, so long may its head take, and then the rest: targets write it in one go.
 pub(crate) const WHOLE: Duration = Duration::from_millis(500);
+/// What was on its way as a call was given up has come after so many round trips, and so much for both sides' turns,
+const ON_ITS_WAY: u32 = 2;
+const TURNS: Duration = Duration::from_millis(20);
+/// or is not waited for: a connection that came up late says little of the way.
+const ON_ITS_WAY_MOST: Duration = Duration::from_millis(40);
 /// Longest first line of an answer that is looked at.
 const LINE_MOST: usize = 256;
 
@@ -45,6 +50,8 @@
     sender: SendRequest<Full<Bytes>>,
     seen: watch::Sender<Seen>,
     request: Arc<Progress>,
+    /// How long it took to come up.
+    round_trip: Duration,
     driver: JoinHandle<()>,
 }
 
@@ -54,6 +61,9 @@
     state: AtomicU8,
     /// Its first byte may not leave later.
     begin_by: Mutex<Option<Instant>>,
+    /// Sending is to end: nothing more is asked for.
+    ends: AtomicBool,
+    told: Notify,
 }
 
 impl Progress {
@@ -83,6 +93,22 @@
     }
 }
 
+/// Gives up the request that a connection carries, beside whoever waits for its answer.
+#[derive(Debug)]
+pub(crate) struct GiveUp {
+    request: Arc<Progress>,
+    /// After so long nothing can still come that was sent before the other side knew.
+    pub(crate) last: Duration,
+}
+
+impl GiveUp {
+    /// Ends sending, which gives the request up. What was on its way can still be read.
+    pub(crate) fn end_sending(&self) {
+        self.request.ends.store(true, Ordering::Relaxed);
+        self.request.told.notify_one();
+    }
+}
+
 impl Connection {
     /// Opens one, within `limit`.
     pub(crate) async fn open(to: SocketAddr, limit: Duration) -> io::Result<Self> {
@@ -96,12 +122,28 @@
             let mut client = http1::Builder::new();
             client.max_buf_size(BUFFER).handshake(TokioIo::new(stream)).await.map_err(io::Error::other)
         };
-        let (sender, connection) = timeout(limit, opening).await.map_err(|_| io::ErrorKind::TimedOut)??;
+        let since = Instant::now();
+        let (sender, mut connection) =
+            timeout(limit, opening).await.map_err(|_| io::ErrorKind::TimedOut)??;
+        let round_trip = since.elapsed();
+        let progress = request.clone();
         let driver = tokio::spawn(async move {
             // How it ended shows in the outcome of the request that it carried.
+            tokio::select! {
+                biased;
+                _ = &mut connection => return,
+                // Looked at as it is read from next ([`Status::before_read`]).
+                () = progress.told.notified() => {}
+            }
             let _ = connection.await;
         });
-        Ok(Connection { sender, seen, request, driver })
+        Ok(Connection { sender, seen, request, round_trip, driver })
+    }
+
+    /// To give up the request that it carries next.
+    pub(crate) fn give_up(&self) -> GiveUp {
+        let last = (self.round_trip * ON_ITS_WAY + TURNS).min(ON_ITS_WAY_MOST);
+        GiveUp { request: self.request.clone(), last }
     }
 
     /// False once the driver has seen that the other side has closed it, or has sent what nothing asked for. What it
@@ -242,6 +284,13 @@
         self.seen.send_if_modified(|seen| std::mem::replace(seen, found) != found);
     }
 
+    fn before_read(&mut self, stream: &TcpStream) {
+        if self.request.ends.load(Ordering::Relaxed) {
+            // One that is gone has ended all by itself.
+            let _ = SockRef::from(stream).shutdown(Shutdown::Write);
+        }
+    }
+
     /// Looks at the socket itself just before the first byte of a request: the runtime's readiness may be old. Guards
     /// the call against a second copy of the last answer, or noise, that came meanwhile: it would be read as this
     /// call's answer. And against a connection that the other side has closed: written to it, the call may have run
--- a/crates/http/src/watched.rs
+++ b/crates/http/src/watched.rs
@@ -11,6 +11,11 @@
     /// These have just come in, never none.
     fn saw(&mut self, fresh: &[u8]);
 
+    /// Somebody is about to look for more.
+    fn before_read(&mut self, stream: &TcpStream) {
+        let _ = stream;
+    }
+
     /// Something is about to be written. With an error nothing is, now or later.
     fn before_write(&mut self, stream: &TcpStream) -> io::Result<()> {
         let _ = stream;
@@ -31,6 +36,8 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
+        let Watched { stream, watch } = &mut *self;
+        watch.before_read(stream);
         let poll = Pin::new(&mut self.stream).poll_read(cx, buf);
         let fresh = &buf.filled()[before..];
         if !fresh.is_empty() {
--- a/crates/http/tests/calls.rs
+++ b/crates/http/tests/calls.rs
@@ -3,7 +3,7 @@
 use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
@@ -113,8 +113,10 @@
 async fn where_no_second_copy_may_go_nothing_ends_before_its_call_is_closed() {
     let (news, mut stream) = first_news(false).await;
     assert_eq!(ended(&news), [(1, Outcome::TimedOut), (2, Outcome::TimedOut)]);
-    // Closed when it was told, not some time after.
+    // Closed when it was told, not some time after: not its sending alone, so that what is written is answered by a reset.
     assert_eq!(timeout(SOON, stream.read(&mut [0; 16])).await.expect("it is closed").unwrap_or(0), 0);
+    let reset = async { while stream.write_all(b"HTTP/1.1 ").await.is_ok() {} };
+    timeout(SOON, reset).await.expect("it is closed both ways");
 }
 
 /// An endpoint on a thread of its own, so that it works while this one stands still: answers every call, and does as
@@ -267,9 +269,7 @@
 #[tokio::test]
 async fn a_first_line_just_before_the_time_is_up_delivers() {
     let (mut stream, _order, mut news) = written(SOON * 2).await;
-    tokio::io::AsyncWriteExt::write_all(&mut stream, b"HTTP/1.1 200 OK\r\nContent-Len")
-        .await
-        .expect("it reads");
+    stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Len").await.expect("it reads");
     let end = next(&mut news).await;
     assert_eq!(ended(&end), [(1, Outcome::Delivered)]);
     assert!(end.ended[0].finished);
@@ -279,7 +279,7 @@
 #[tokio::test]
 async fn a_first_line_just_before_a_call_is_called_off_delivers() {
     let (mut stream, order, mut news) = written(SOON * 20).await;
-    tokio::io::AsyncWriteExt::write_all(&mut stream, b"HTTP/1.1 200 OK\r\n").await.expect("it reads");
+    stream.write_all(b"HTTP/1.1 200 OK\r\n").await.expect("it reads");
     tokio::time::sleep(SOON).await;
     order.send(yarrowhill_engine::Order::CallOff(1, 0)).await.expect("it is out");
     assert_eq!(ended(&next(&mut news).await), [(1, Outcome::Delivered)]);
@@ -307,7 +307,7 @@
     order.send(yarrowhill_engine::Order::CallOff(1, 0)).await.expect("it is out");
     assert!(timeout(SOON / 3, news.recv()).await.is_err(), "it was not heard out");
     let answer = b"HTTP/1.1 429 Busy\r\nWait-Ms: 700\r\nContent-Length: 0\r\n\r\n";
-    tokio::io::AsyncWriteExt::write_all(&mut stream, answer).await.expect("it reads");
+    stream.write_all(answer).await.expect("it reads");
     let end = next(&mut news).await;
     assert_eq!(ended(&end), [(1, Outcome::Full { wait: Some(700_000) })]);
 }
@@ -321,3 +321,57 @@
     assert_eq!(ended(&next(&mut news).await), [(1, Outcome::Cancelled)]);
     assert!(since.elapsed() < SOON * 3, "{:?}", since.elapsed());
 }
+
+/// The endpoint's side of a call that is given up: it answers only once it has read the end of the call's sending, as an
+/// answer does that was on its way just then. On a thread of its own, so that nothing here makes it late.
+fn answers_at_the_end(stream: TcpStream, answer: &'static [u8]) -> std::thread::JoinHandle<()> {
+    let mut stream = stream.into_std().expect("a socket");
+    stream.set_nonblocking(false).expect("it may block");
+    std::thread::spawn(move || {
+        assert_eq!(stream.read(&mut [0; 16]).expect("no reset"), 0, "nothing more is asked for");
+        stream.write_all(answer).expect("it still reads");
+    })
+}
+
+const BUSY: &[u8] = b"HTTP/1.1 429 Busy\r\nWait-Ms: 700\r\nContent-Length: 0\r\n\r\n";
+
+/// Guards the rule on waits: one counts as told when it is written, also where the call's time is up in that moment. The
+/// connection was closed over it, and the next call went out within the wait.
+#[tokio::test]
+async fn a_wait_on_its_way_as_the_time_is_up_binds() {
+    let (stream, _order, mut news) = written(SOON).await;
+    let endpoint = answers_at_the_end(stream, BUSY);
+    assert_eq!(ended(&next(&mut news).await), [(1, Outcome::Full { wait: Some(700_000) })]);
+    endpoint.join().expect("it answers");
+}
+
+/// The same as it is called off, long after its first byte.
+#[tokio::test]
+async fn a_wait_on_its_way_as_a_call_is_called_off_binds() {
+    let (stream, order, mut news) = written(SOON * 20).await;
+    let endpoint = answers_at_the_end(stream, BUSY);
+    tokio::time::sleep(SOON * 2).await;
+    order.send(yarrowhill_engine::Order::CallOff(1, 0)).await.expect("it is out");
+    assert_eq!(ended(&next(&mut news).await), [(1, Outcome::Full { wait: Some(700_000) })]);
+    endpoint.join().expect("it answers");
+}
+
+/// Guards the rule on second copies: a message that has been delivered is over, whoever had given the call up.
+#[tokio::test]
+async fn a_delivery_on_its_way_as_a_call_is_given_up_counts() {
+    let (stream, _order, mut news) = written(SOON).await;
+    let endpoint = answers_at_the_end(stream, b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    let end = next(&mut news).await;
+    assert_eq!(ended(&end), [(1, Outcome::Delivered)]);
+    assert!(end.ended[0].finished);
+    endpoint.join().expect("it answers");
+}
+
+/// An endpoint that hangs holds what is given up hardly longer.
+#[tokio::test]
+async fn an_endpoint_that_hangs_is_not_waited_for() {
+    let since = Instant::now();
+    let (_stream, _order, mut news) = written(SOON * 2).await;
+    assert_eq!(ended(&next(&mut news).await), [(1, Outcome::TimedOut)]);
+    assert!(since.elapsed() < SOON * 3, "{:?}", since.elapsed());
+}
--- a/crates/yarrowhill/src/config.rs
+++ b/crates/yarrowhill/src/config.rs
@@ -125,7 +125,16 @@
     /// The file can't be read or made out.
     pub fn read(path: &Path, state: PathBuf) -> Result<Self, ConfigError> {
         let text = fs::read(path).map_err(|e| ConfigError::Read(path.into(), e))?;
-        Config::parse(&text, state, path)
+        let mut config = Config::parse(&text, state, path)?;
+        config.bound_descriptors(descriptors().unwrap_or(usize::MAX));
+        Ok(config)
+    }
+
+    /// It has no more descriptors than these. Where the settings name no bound on calls, the descriptors are one: a call
+    /// that can't have a connection for want of them would look like an outage of its destination.
+    fn bound_descriptors(&mut self, most: usize) {
+        self.limits.sockets = self.limits.sockets.min(most);
+        self.settings.slots = self.settings.slots.min((self.limits.sockets / SLOTS_PART).max(1));
     }
 
     /// Reads the text of a file; `path` names it in errors.
@@ -148,11 +157,9 @@
             (None, Some(_)) => return Err(ConfigError::Nameless),
             (Some(name), Some(fleet)) => Some((name, path.parent().unwrap_or(Path::new("")).join(fleet))),
         };
-        let (mut settings, names) = from_json(&file.settings).map_err(ConfigError::Settings)?;
-        // Where the settings name no bound, the descriptors are one: a call that can't have a connection for want of
-        // them would look like an outage of its destination.
-        settings.slots = settings.slots.min((file.limits.sockets / SLOTS_PART).max(1));
-        Ok(Config {
+        let (settings, names) = from_json(&file.settings).map_err(ConfigError::Settings)?;
+        let sockets = file.limits.sockets;
+        let mut config = Config {
             listen: file.listen,
             discovery: file.discovery,
             state,
@@ -168,6 +175,16 @@
                 DurabilityName::Process => Durability::Process,
                 DurabilityName::Disk => Durability::Disk,
             },
-        })
+        };
+        config.bound_descriptors(sockets);
+        Ok(config)
     }
 }
+
+/// Descriptors that the system gives this process, where it says so.
+fn descriptors() -> Option<usize> {
+    let limits = fs::read_to_string("/proc/self/limits").ok()?;
+    let soft = limits.lines().find_map(|line| line.strip_prefix("Max open files"))?;
+    // None where there is no limit.
+    soft.split_whitespace().next()?.parse().ok()
+}
--- a/crates/yarrowhill/tests/rare.rs
+++ b/crates/yarrowhill/tests/rare.rs
@@ -284,6 +284,31 @@
     )
 }
 
+/// A folder with 100,000 open messages, and an agent that says nothing: ready all the same, and what was never tried is sent.
+#[tokio::test]
+async fn a_hundred_thousand_open_messages_and_a_silent_agent_delay_no_start() {
+    const MESSAGES: u64 = 100_000;
+    let (silent, mut stub, discovery) = (Raw::start().await, Stub::start().await, Discovery::start().await);
+    let known = [target("t", stub.addr, 7, "plain", "in_service")];
+    let at = silent.addr;
+    let mut f = Forwarder::start(&discovery, &known, |c| {
+        c["discovery"] = json!(at.to_string());
+        c["limits"]["disk_mb"] = json!(400);
+        c["limits"]["memory_mb"] = json!(512);
+    })
+    .await;
+    f.kill();
+    f.fill(MESSAGES, Duration::from_secs(3600));
+    let start = Instant::now();
+    f.restart().await;
+    assert!(start.elapsed() < Duration::from_secs(10), "ready after {:?}", start.elapsed());
+    for _ in 0..20 {
+        let call = stub.next().await;
+        assert!(call.header("req-id").starts_with("open-"));
+        call.answer(200);
+    }
+}
+
 // ---- Watches ----
 
 /// Whatever becomes of the calls to discovery, what it has is heard before it counts as told.
@@ -363,6 +388,70 @@
     }
 }
 
+// ---- Descriptors ----
+
+/// The configuration allows more descriptors than the system gives: what is shared out is what there is, or idle clients
+/// would take what calls, discovery and the journal need.
+#[tokio::test]
+async fn a_lower_limit_of_the_system_is_shared_out() {
+    const DESCRIPTORS: u64 = 64;
+    let (discovery, mut stub) = (Discovery::start().await, Stub::start().await);
+    let known = [target("t", stub.addr, 7, "plain", "in_service")];
+    let many = |c: &mut Value| c["limits"]["sockets"] = json!(4096);
+    let f = Forwarder::start_within(Some(DESCRIPTORS), &discovery, &known, many).await;
+    let mut client = RawCall(TcpStream::connect(f.addr).await.expect("it listens"));
+    let mut idle = Vec::new();
+    for _ in 0..100 {
+        if let Ok(Ok(stream)) = timeout(QUIET, TcpStream::connect(f.addr)).await {
+            idle.push(stream);
+        }
+    }
+    // All at once, each on a connection of its own.
+    for n in 0..10 {
+        client.write(&message(&format!("m{n}"))).await;
+        let answer = client.head().await;
+        assert!(answer.starts_with("HTTP/1.1 202"), "message {n}: {answer}");
+    }
+    let mut out = Vec::new();
+    for n in 0..10 {
+        let call = stub.next_within(Duration::from_secs(1)).await;
+        out.push(call.unwrap_or_else(|| panic!("call {n} does not come, {} descriptors", f.descriptors())));
+    }
+    out.into_iter().for_each(|call| call.answer(200));
+}
+
+/// The descriptors are used up in truth: accepting neither spins nor ends, what is connected is served, and once there are
+/// some again all is as before.
+#[tokio::test]
+async fn out_of_descriptors_it_serves_whom_it_has_and_goes_on() {
+    let (discovery, mut stub) = (Discovery::start().await, Stub::start().await);
+    let known = [target("t", stub.addr, 7, "plain", "in_service")];
+    let f = Forwarder::start(&discovery, &known, |_| {}).await;
+    let mut client = RawCall(TcpStream::connect(f.addr).await.expect("it listens"));
+    client.write(&message("first")).await;
+    // Its connection is kept for the next call.
+    stub.next().await.answer(200);
+    assert!(client.head().await.starts_with("HTTP/1.1 202"));
+    f.limit_descriptors(1);
+    let (ticks, start) = (f.ticks(), Instant::now());
+    let queued = TcpStream::connect(f.addr).await.expect("the system takes it on");
+    client.write(&message("second")).await;
+    let call = stub.next().await;
+    assert_eq!(call.header("req-id"), "second");
+    call.answer(200);
+    assert!(client.head().await.starts_with("HTTP/1.1 202"));
+    sleep(Duration::from_secs(1)).await;
+    let (used, span) = (f.ticks() - ticks, start.elapsed());
+    assert!(u128::from(used) * 10 * 4 < span.as_millis(), "{used} ticks in {span:?}");
+    f.limit_descriptors(1024);
+    let mut queued = RawCall(queued);
+    queued.write(&message("third")).await;
+    assert!(queued.head().await.starts_with("HTTP/1.1 202"));
+    let call = stub.next().await;
+    assert_eq!(call.header("req-id"), "third");
+    call.answer(200);
+}
+
 // ---- Calls ----
 
 /// A wait stands in a head that is whole; the body behind it is not.
--- a/crates/yarrowhill/tests/support/mod.rs
+++ b/crates/yarrowhill/tests/support/mod.rs
@@ -15,13 +15,14 @@
 use std::process::{Child, Command, ExitStatus};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use std::{env, fs, io, process};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
+use yarrowhill_journal::{Accepted, Durability, Journal, Options, Record};
 
 /// Longer than anything that a test waits for should take.
 pub const SOON: Duration = Duration::from_secs(10);
@@ -256,11 +257,23 @@
     pub addr: SocketAddr,
     folder: PathBuf,
     process: Child,
+    /// Descriptors that the system gives it; none: as many as it gives the test.
+    descriptors: Option<u64>,
 }
 
 impl Forwarder {
     /// Starts it with a configuration that may be changed, and waits until it is ready.
     pub async fn start(discovery: &Discovery, known: &[Value], change: impl FnOnce(&mut Value)) -> Self {
+        Forwarder::start_within(None, discovery, known, change).await
+    }
+
+    /// The same where the system gives it no more than so many descriptors.
+    pub async fn start_within(
+        descriptors: Option<u64>,
+        discovery: &Discovery,
+        known: &[Value],
+        change: impl FnOnce(&mut Value),
+    ) -> Self {
         static STARTED: AtomicUsize = AtomicUsize::new(0);
         let number = STARTED.fetch_add(1, Ordering::Relaxed);
         let folder = env::temp_dir().join(format!("yarrowhill-test-{}-{number}", process::id()));
@@ -274,8 +287,8 @@
         let mut config = config(addr, discovery.addr, known);
         change(&mut config);
         fs::write(folder.join("config.json"), config.to_string()).expect("the folder is writable");
-        let process = spawn(&folder);
-        let forwarder = Forwarder { addr, folder, process };
+        let process = spawn(&folder, descriptors);
+        let forwarder = Forwarder { addr, folder, process, descriptors };
         forwarder.ready().await;
         forwarder
     }
@@ -290,7 +303,7 @@
     }
 
     pub async fn restart(&mut self) {
-        self.process = spawn(&self.folder);
+        self.process = spawn(&self.folder, self.descriptors);
         self.ready().await;
     }
 
@@ -321,6 +334,19 @@
         open.count() as u64
     }
 
+    /// The system gives the running program so many descriptors from now on.
+    pub fn limit_descriptors(&self, most: u64) {
+        let args = ["--pid".to_owned(), self.process.id().to_string(), format!("--nofile={most}:")];
+        assert!(Command::new("prlimit").args(args).status().expect("prlimit runs").success());
+    }
+
+    /// Processor time that it has used (ticks of 10 ms).
+    pub fn ticks(&self) -> u64 {
+        let stat = fs::read_to_string(format!("/proc/{}/stat", self.process.id())).expect("it lives");
+        let behind = stat.rsplit(") ").next().unwrap_or_default();
+        behind.split(' ').skip(11).take(2).filter_map(|ticks| ticks.parse::<u64>().ok()).sum()
+    }
+
     /// SIGCONT.
     pub fn go_on(&self) {
         self.signal("-CONT");
@@ -366,6 +392,27 @@
         self.folder.join("state/journal")
     }
 
+    /// Puts so many messages for destination 7 into its journal that were taken on and never tried. It must not run.
+    pub fn fill(&self, messages: u64, left: Duration) {
+        let now =
+            SystemTime::now().duration_since(UNIX_EPOCH).expect("a clock that is right").as_millis() as u64;
+        let options = Options { limit: 1 << 32, durability: Durability::Process };
+        let (mut journal, _) = Journal::open(&self.folder.join("state"), options, now).expect("it opens");
+        let accepted = |n: u64| Accepted {
+            id: format!("open-{n}"),
+            class: "unsafe".into(),
+            tenant: Some("acme".into()),
+            dest: 7,
+            key: None,
+            deadline: now + left.as_millis() as u64,
+            body: Bytes::from_static(b"body"),
+        };
+        let records: Vec<Record> = (0..messages).map(|n| Record::Accepted(accepted(n))).collect();
+        for turn in records.chunks(1000) {
+            journal.commit(turn, now).expect("there is room");
+        }
+    }
+
     /// Hands in a message for destination 7 and gives the answer.
     pub async fn hand_in(&self, class: &str, id: &str, deadline_ms: u64) -> Response<Bytes> {
         let deadline = deadline_ms.to_string();
@@ -400,8 +447,10 @@
     }
 }
 
-fn spawn(folder: &std::path::Path) -> Child {
-    Command::new(env!("CARGO_BIN_EXE_yarrowhill"))
+fn spawn(folder: &std::path::Path, descriptors: Option<u64>) -> Child {
+    let limit = descriptors.map(|most| format!("ulimit -n {most}; ")).unwrap_or_default();
+    Command::new("sh")
+        .args(["-c", &(limit + "exec \"$0\""), env!("CARGO_BIN_EXE_yarrowhill")])
         .env("BALANCER_CONFIG", folder.join("config.json"))
         .env("BALANCER_STATE", folder.join("state"))
         .spawn()
@@ -471,7 +520,7 @@
         timeout(SOON, whole).await.expect("a request comes")
     }
 
-    /// Reads the head of one request without a body, and gives its text.
+    /// Reads one head with no body behind it, and gives its text.
     pub async fn head(&mut self) -> String {
         let mut text = Vec::new();
         let whole = async {
