--- a/crates/engine/src/call.rs
+++ b/crates/engine/src/call.rs
@@ -53,8 +53,8 @@
 /// What the engine may still say to a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Order {
-    /// This attempt is called off.
-    CallOff(MessageId, usize),
+    /// This attempt is cancelled.
+    Cancel(MessageId, usize),
     /// The destination told a wait: nothing may be written from now on.
     Hold,
 }
--- a/crates/engine/src/engine/calls.rs
+++ b/crates/engine/src/engine/calls.rs
@@ -61,7 +61,7 @@
             });
         }
         let Some(t) = self.endpoints.get_mut(endpoint).filter(|_| !items.is_empty()) else { return };
-        // Each attempt is called off once at most; one more place is for a hold.
+        // Each attempt is cancelled once at most; one more place is for a hold.
         let (sender, orders) = channel(items.len() + 1);
         self.calls.insert(
             self.next_call,
@@ -81,7 +81,7 @@
         let call = self.in_flight.get(&(id, attempt)).and_then(|out| self.calls.get(&out.call));
         if let Some(call) = call {
             // Closed: its outcome is on its way.
-            let _ = call.orders.try_send(Order::CallOff(id, attempt));
+            let _ = call.orders.try_send(Order::Cancel(id, attempt));
         }
     }
 
--- a/crates/http/src/calls.rs
+++ b/crates/http/src/calls.rs
@@ -28,7 +28,7 @@
 const STOPPED: Duration = Duration::from_millis(100);
 /// After that so much time is given to what came meanwhile: a drain or a wait is read before a byte leaves.
 const CATCH_UP: Duration = Duration::from_millis(30);
-/// A call that was written less than so long ago is not called off yet. Its answer is most likely on its way, and what it
+/// A call that was written less than so long ago is not cancelled yet. Its answer is most likely on its way, and what it
 /// tells binds whether it is read or not: a wait counts as told when it is written.
 const HEARD_OUT: Duration = Duration::from_millis(250);
 /// Longest answer that is read.
@@ -57,7 +57,7 @@
         held: false,
         several: false,
         heard_out: now,
-        called_off: Vec::new(),
+        cancelled: Vec::new(),
     };
     #[cfg(feature = "gate")]
     let mut began = Instant::now();
@@ -190,8 +190,8 @@
     several: bool,
     /// It is heard out until then.
     heard_out: Instant,
-    /// Attempts that are called off then.
-    called_off: Vec<(MessageId, usize)>,
+    /// Attempts that are cancelled then.
+    cancelled: Vec<(MessageId, usize)>,
 }
 
 impl Pending {
@@ -205,8 +205,8 @@
                 biased;
                 done = &mut work => return Some(done),
                 () = sleep_until(until) => self.expire(stage, Instant::now()),
-                () = sleep_until(self.heard_out), if !self.called_off.is_empty() => {
-                    for (id, attempt) in std::mem::take(&mut self.called_off) {
+                () = sleep_until(self.heard_out), if !self.cancelled.is_empty() => {
+                    for (id, attempt) in std::mem::take(&mut self.cancelled) {
                         self.part(Outcome::Cancelled, |i| (i.id, i.attempt) == (id, attempt));
                     }
                 }
@@ -246,10 +246,10 @@
 
     fn obey(&mut self, order: Order, stage: Stage) {
         match order {
-            Order::CallOff(id, attempt) if stage == Stage::Written && Instant::now() < self.heard_out => {
-                self.called_off.push((id, attempt));
+            Order::Cancel(id, attempt) if stage == Stage::Written && Instant::now() < self.heard_out => {
+                self.cancelled.push((id, attempt));
             }
-            Order::CallOff(id, attempt) => {
+            Order::Cancel(id, attempt) => {
                 let outcome = if stage == Stage::Written { Outcome::Cancelled } else { Outcome::NotSent };
                 self.part(outcome, |i| (i.id, i.attempt) == (id, attempt));
             }
@@ -343,7 +343,7 @@
     AttemptEnd { id: item.id, attempt: item.attempt, outcome, finished: false, report: None, wait: None }
 }
 
-/// What a call's end says of its destination; nothing where it was called off.
+/// What a call's end says of its destination; nothing where it was cancelled.
 #[cfg(feature = "gate")]
 fn went(answer: &Option<Result<Answer, Silence>>, late: bool) -> Option<CallWent> {
     match answer {
--- a/crates/http/tests/calls.rs
+++ b/crates/http/tests/calls.rs
@@ -275,13 +275,13 @@
     assert!(end.ended[0].finished);
 }
 
-/// Also where the attempt is called off in that moment.
+/// Also where the attempt is cancelled in that moment.
 #[tokio::test]
-async fn a_first_line_just_before_a_call_is_called_off_delivers() {
+async fn a_first_line_just_before_a_call_is_cancelled_delivers() {
     let (mut stream, order, mut news) = written(SOON * 20).await;
     stream.write_all(b"HTTP/1.1 200 OK\r\n").await.expect("it reads");
     tokio::time::sleep(SOON).await;
-    order.send(yarrowhill_engine::Order::CallOff(1, 0)).await.expect("it is out");
+    order.send(yarrowhill_engine::Order::Cancel(1, 0)).await.expect("it is out");
     assert_eq!(ended(&next(&mut news).await), [(1, Outcome::Delivered)]);
 }
 
@@ -299,12 +299,12 @@
     }
 }
 
-/// Seen on a day on which connections come up late: a call was called off 52 ms after its first byte, as its answer with a
+/// Seen on a day on which connections come up late: a call was cancelled 52 ms after its first byte, as its answer with a
 /// wait was on its way, and the next call went out within that wait.
 #[tokio::test]
-async fn a_call_that_was_just_written_is_heard_out_before_it_is_called_off() {
+async fn a_call_that_was_just_written_is_heard_out_before_it_is_cancelled() {
     let (mut stream, order, mut news) = written(SOON * 20).await;
-    order.send(yarrowhill_engine::Order::CallOff(1, 0)).await.expect("it is out");
+    order.send(yarrowhill_engine::Order::Cancel(1, 0)).await.expect("it is out");
     assert!(timeout(SOON / 3, news.recv()).await.is_err(), "it was not heard out");
     let answer = b"HTTP/1.1 429 Busy\r\nWait-Ms: 700\r\nContent-Length: 0\r\n\r\n";
     stream.write_all(answer).await.expect("it reads");
@@ -312,12 +312,12 @@
     assert_eq!(ended(&end), [(1, Outcome::Full { wait: Some(700_000) })]);
 }
 
-/// Without an answer it is called off all the same, soon.
+/// Without an answer it is cancelled all the same, soon.
 #[tokio::test]
-async fn a_call_that_is_heard_out_in_vain_is_called_off() {
+async fn a_call_that_is_heard_out_in_vain_is_cancelled() {
     let (_stream, order, mut news) = written(SOON * 20).await;
     let since = Instant::now();
-    order.send(yarrowhill_engine::Order::CallOff(1, 0)).await.expect("it is out");
+    order.send(yarrowhill_engine::Order::Cancel(1, 0)).await.expect("it is out");
     assert_eq!(ended(&next(&mut news).await), [(1, Outcome::Cancelled)]);
     assert!(since.elapsed() < SOON * 3, "{:?}", since.elapsed());
 }
@@ -345,13 +345,13 @@
     endpoint.join().expect("it answers");
 }
 
-/// The same as it is called off, long after its first byte.
+/// The same as it is cancelled, long after its first byte.
 #[tokio::test]
-async fn a_wait_on_its_way_as_a_call_is_called_off_binds() {
+async fn a_wait_on_its_way_as_a_call_is_cancelled_binds() {
     let (stream, order, mut news) = written(SOON * 20).await;
     let endpoint = answers_at_the_end(stream, BUSY);
     tokio::time::sleep(SOON * 2).await;
-    order.send(yarrowhill_engine::Order::CallOff(1, 0)).await.expect("it is out");
+    order.send(yarrowhill_engine::Order::Cancel(1, 0)).await.expect("it is out");
     assert_eq!(ended(&next(&mut news).await), [(1, Outcome::Full { wait: Some(700_000) })]);
     endpoint.join().expect("it answers");
 }
@@ -375,3 +375,59 @@
     assert_eq!(ended(&next(&mut news).await), [(1, Outcome::TimedOut)]);
     assert!(since.elapsed() < SOON * 3, "{:?}", since.elapsed());
 }
+
+/// A batch's answer that breaks off within says of no message that it never ran.
+#[tokio::test]
+async fn of_a_batch_whose_answer_is_cut_each_message_may_have_run() {
+    for cut in ["", "[{\"id\":\"m1\",\"state\":\"accepted\"},{\"id\":\"m2\",\"sta"] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let to = listener.local_addr().expect("an address");
+        let (inputs, mut news) = mpsc::channel(8);
+        let (_orders, orders) = mpsc::channel(3);
+        let until = Instant::now() + SOON * 20;
+        let items = vec![item(1, until, until), item(2, until, until)];
+        let (connect_timeout, decided) = (Duration::from_secs(1), Instant::now());
+        let call =
+            Call { endpoint: 1, dest: 10, to, decided, items, second_copies: true, connect_timeout, orders };
+        Pool::new(4, Duration::from_secs(5)).start(call, inputs);
+        let (mut stream, _) = listener.accept().await.expect("it calls");
+        assert!(stream.read(&mut [0; 4096]).await.expect("it writes") > 0);
+        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: 80\r\n\r\n{cut}");
+        stream.write_all(answer.as_bytes()).await.expect("it reads");
+        drop(stream);
+        let end = next(&mut news).await;
+        assert_eq!(ended(&end), [(1, Outcome::Spoilt), (2, Outcome::Spoilt)], "{cut:?}");
+        assert!(end.ended.iter().all(|end| !end.finished && !end.outcome.never_ran()));
+    }
+}
+
+/// A connection that does not come up in its time is given up: its message is free again, and nothing is written to it
+/// when it comes up all the same.
+#[tokio::test]
+async fn a_connection_that_comes_up_after_its_time_carries_nothing() {
+    let (listener, queued) = jammed().await;
+    let to = listener.local_addr().expect("it is bound");
+    let (inputs, mut news) = mpsc::channel(8);
+    let (_orders, orders) = mpsc::channel(3);
+    let until = Instant::now() + SOON * 60;
+    let (items, decided) = (vec![item(1, until, until)], Instant::now());
+    let call = Call {
+        endpoint: 1,
+        dest: 10,
+        to,
+        decided,
+        items,
+        second_copies: true,
+        connect_timeout: SOON * 2,
+        orders,
+    };
+    Pool::new(4, Duration::from_secs(5)).start(call, inputs);
+    assert_eq!(ended(&next(&mut news).await), [(1, Outcome::ConnectFailed)]);
+    for _ in 0..queued.len() {
+        listener.accept().await.expect("one was queued");
+    }
+    // The system tries again after a second, if there is still somebody who wants it.
+    while let Ok(Ok((mut late, _))) = timeout(SOON * 10, listener.accept()).await {
+        assert_eq!(late.read(&mut [0; 16]).await.unwrap_or(0), 0, "it was written");
+    }
+}
--- a/crates/http/tests/closing.rs
+++ b/crates/http/tests/closing.rs
@@ -23,6 +23,8 @@
     served: JoinHandle<()>,
     /// Ids in the order taken on.
     taken: mpsc::UnboundedReceiver<String>,
+    /// While it is set the engine takes on and does not answer.
+    holds: watch::Sender<bool>,
 }
 
 async fn world(most: usize) -> World {
@@ -35,13 +37,15 @@
     let to = listener.local_addr().expect("an address");
     let served = tokio::spawn(yarrowhill_http::serve(listener, most, intake));
     let (took, taken) = mpsc::unbounded_channel();
+    let (holds, mut held) = watch::channel(false);
     tokio::spawn(async move {
         while let Some(Input::Submission(message)) = inputs.recv().await {
             let _ = took.send(message.id.clone());
+            let _ = held.wait_for(|held| !held).await;
             let _ = message.answer.send(Answer::Accepted);
         }
     });
-    World { to, phase, served, taken }
+    World { to, phase, served, taken, holds }
 }
 
 fn request(id: &str) -> String {
@@ -261,3 +265,51 @@
     }
     drop(silent);
 }
+
+/// What the engine has when the end comes has its answer before that.
+#[tokio::test]
+async fn a_request_that_waits_for_the_engine_at_the_shutdown_is_answered() {
+    let mut world = world(8).await;
+    world.holds.send_replace(true);
+    let mut client = Client::connect(world.to);
+    client.write(&request("m"));
+    assert_eq!(world.taken.recv().await.as_deref(), Some("m"));
+    world.phase.send_replace(Phase::Shut);
+    // Another's end shows that the shutdown has been seen.
+    assert!(Client::connect(world.to).rest().await.0.starts_with("HTTP/1.1 503 "));
+    assert!(!world.served.is_finished());
+    world.holds.send_replace(false);
+    let (text, error) = client.rest().await;
+    assert!(text.starts_with("HTTP/1.1 202 "), "{text:?}");
+    assert_eq!(error, None);
+    ended(world).await;
+}
+
+/// Heads that begin about when their connection has rested for too long: each is served whole, or untouched, and none of
+/// the connections is reset.
+#[tokio::test]
+async fn a_head_that_begins_as_a_rest_ends_is_served_or_untouched() {
+    let mut world = world(40).await;
+    let mut clients = Vec::new();
+    for n in 0..12 {
+        clients.push(resting(&mut world, &format!("m{n}")).await);
+    }
+    sleep(Duration::from_millis(1700)).await;
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.write("POST /order HTTP/1.1\r\n");
+        sleep(Duration::from_millis(15)).await;
+        client.write(&request(&format!("late{n}")).replace("POST /order HTTP/1.1\r\n", ""));
+    }
+    let mut served = 0;
+    for client in &mut clients {
+        let (text, error) = client.rest().await;
+        assert!(text.is_empty() || text.starts_with("HTTP/1.1 202 "), "{text:?}");
+        assert_eq!(error, None, "the connection was reset behind {text:?}");
+        served += usize::from(!text.is_empty());
+    }
+    let mut taken = 0;
+    while world.taken.try_recv().is_ok() {
+        taken += 1;
+    }
+    assert_eq!(taken, served, "taken on, and answered");
+}
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -103,7 +103,7 @@
     pub open_cap: usize,
     /// Attempts that a message may have.
     pub max_attempts: usize,
-    /// Attempts may be called off.
+    /// Attempts may be cancelled.
     pub cancel: bool,
     /// A message may have a second attempt out beside the first. Decisions never ask for that; hosts whose calls carry
     /// several messages must not bring it about.
--- a/crates/policy/src/balancer/admission.rs
+++ b/crates/policy/src/balancer/admission.rs
@@ -115,7 +115,7 @@
         }
         // By call: whether something in it must not run twice, when it was sent, how late it may be.
         let mut out: BTreeMap<u64, (bool, Micros, Micros)> = BTreeMap::new();
-        for a in self.attempts.values().filter(|a| !a.called_off) {
+        for a in self.attempts.values().filter(|a| !a.cancelled) {
             let (d, t) = (&self.dests[&a.dest], &self.endpoints[&a.endpoint]);
             let scope = if d.kind.routes_apart { &t.scope } else { &d.scope };
             let call = out.entry(a.call).or_insert((false, a.sent, scope.patience(&self.e)));
@@ -128,8 +128,8 @@
         stuck.sort_unstable();
         stuck.truncate(stuck.len().saturating_sub((self.e.s.slots / STUCK_PART).max(1)));
         for (&(id, attempt), a) in &mut self.attempts {
-            if !a.called_off && stuck.iter().any(|(.., call)| *call == a.call) {
-                a.called_off = true;
+            if !a.cancelled && stuck.iter().any(|(.., call)| *call == a.call) {
+                a.cancelled = true;
                 actions.push(Action::Cancel { id, attempt });
             }
         }
--- a/crates/policy/src/balancer/choice.rs
+++ b/crates/policy/src/balancer/choice.rs
@@ -121,7 +121,7 @@
             if let Some(t) = key.as_ref().and_then(|k| self.turns.get_mut(k)) {
                 t.out += 1;
             }
-            let a = Attempt { call, endpoint, dest, class: m.m.class, sent: now, called_off: false, key };
+            let a = Attempt { call, endpoint, dest, class: m.m.class, sent: now, cancelled: false, key };
             self.attempts.insert((id, m.attempts), a);
             m.attempts += 1;
             travelling += 1;
--- a/crates/policy/src/balancer/state.rs
+++ b/crates/policy/src/balancer/state.rs
@@ -63,7 +63,7 @@
     pub(super) dest: DestId,
     pub(super) class: usize,
     pub(super) sent: Micros,
-    pub(super) called_off: bool,
+    pub(super) cancelled: bool,
     pub(super) key: Option<String>,
 }
 
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -270,7 +270,7 @@
 /// Seen at a recorded incident: several receivers fell silent and their calls, most of them of a class that must
 /// not run twice and so without a time-out, held every slot for 16 s.
 #[test]
-fn with_every_slot_taken_calls_long_overdue_are_called_off_but_for_a_few() {
+fn with_every_slot_taken_calls_long_overdue_are_cancelled_but_for_a_few() {
     let hosts = vec![entry(10, 1, 0), entry(20, 2, 0), entry(30, 3, 0)];
     let mut rig = Rig::new(Settings { cancel: true, ..settings() }, hosts);
     for id in 0..8 {
