Do not wait for a late connection where another target may have the message

It waited for the whole of connectTimeout (1 to 1.5 s) and was then free (calls.rs, make: Connection::open under connect_timeout). A second connection beside the first had been tried and taken out: what it gained was lost by calls that were written late and cancelled as they were answered.

Change: a call knows whether another endpoint of its destination is in service (the list, counted when it changes). Where one is, a connection that is not up after a quarter of its time ends the attempt as one that could not connect in less than half of it, which the module takes for a full table, and comes up by itself: kept for the next call, or closed. Nothing is ever written by the call that has gone.

Result: messages_do_not_wait_for_one_late_connection fails before ('message 4 waits for the other connection').

--- a/crates/engine/src/call.rs
+++ b/crates/engine/src/call.rs
@@ -46,6 +46,8 @@
     pub second_copies: bool,
     /// A connection that is not up by then never comes up.
     pub connect_timeout: Duration,
+    /// Another endpoint of its destination is in service: the messages need not wait for a connection that is late.
+    pub elsewhere: bool,
     /// What the engine says to the call while it is out.
     pub orders: Receiver<Order>,
 }
--- a/crates/engine/src/endpoints.rs
+++ b/crates/engine/src/endpoints.rs
@@ -38,6 +38,8 @@
     next: EndpointId,
     /// Those that the list no longer holds, and since when.
     gone: BTreeMap<EndpointId, Micros>,
+    /// How many of a destination are in service.
+    serving: HashMap<DestId, usize>,
 }
 
 impl Endpoints {
@@ -49,6 +51,11 @@
         self.known.get_mut(&id)
     }
 
+    /// How many of a destination are in service.
+    pub(crate) fn serving(&self, dest: DestId) -> usize {
+        self.serving.get(&dest).copied().unwrap_or(0)
+    }
+
     /// Takes in a list, and gives the event that the module hears of.
     pub(crate) fn apply(
         &mut self,
@@ -71,6 +78,10 @@
         let entries: Vec<Entry> = entries.collect();
         self.gone.keys().for_each(|id| transport.endpoint(*id, None));
         self.forget(now);
+        self.serving.clear();
+        for endpoint in self.known.values().filter(|endpoint| endpoint.serves) {
+            *self.serving.entry(endpoint.dest).or_default() += 1;
+        }
         if list.all { Event::ListWhole(entries) } else { Event::ListChanges(entries) }
     }
 
--- a/crates/engine/src/engine/calls.rs
+++ b/crates/engine/src/engine/calls.rs
@@ -72,8 +72,10 @@
         let connect_timeout = Duration::from_micros(connect_timeout as u64);
         let second_copies = self.settings.second_copies;
         let decided = Instant::now();
+        let (dest, to) = (t.dest, t.to);
+        let elsewhere = self.endpoints.serving(dest) > 1;
         let call =
-            Call { endpoint, dest: t.dest, to: t.to, decided, items, second_copies, connect_timeout, orders };
+            Call { endpoint, dest, to, decided, items, second_copies, connect_timeout, elsewhere, orders };
         self.transport.start(call, self.inputs.clone());
     }
 
--- a/crates/fuzz/src/target.rs
+++ b/crates/fuzz/src/target.rs
@@ -170,6 +170,7 @@
             items,
             second_copies: true,
             connect_timeout,
+            elsewhere: false,
             orders,
         };
         pool.start(call, results.clone());
--- a/crates/http/src/calls.rs
+++ b/crates/http/src/calls.rs
@@ -1,7 +1,7 @@
 //! Calls to endpoints: one connection carries one call at a time, and each message in it gets its outcome.
 
 use crate::connection::{self, Broken, Connection, GiveUp};
-use crate::pool::Gated;
+use crate::pool::{Gated, Keeper};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
@@ -31,6 +31,9 @@
 /// A call that was written less than so long ago is not cancelled yet. Its answer is most likely on its way, and what it
 /// tells binds whether it is read or not: a wait counts as told when it is written.
 const HEARD_OUT: Duration = Duration::from_millis(250);
+/// Where another endpoint may have the messages, a connection that is not up after this part of its time is not waited
+/// for.
+const LATE_PART: u32 = 4;
 /// Longest answer that is read.
 const ANSWER_MOST: usize = 64 << 10;
 /// Longest wait that is believed (ms): far longer than any that is meant, and one that was spoilt on its way does
@@ -44,7 +47,7 @@
     mut connection: Option<Connection>,
     results: Sender<Input>,
     gate: Gated,
-    keep: impl FnOnce(Connection),
+    keeper: Keeper,
 ) {
     let (waiting, now) = (std::mem::take(&mut call.items), Instant::now());
     let mut pending = Pending {
@@ -66,25 +69,34 @@
         let kept = connection.is_some();
         pending.heed();
         if pending.waiting.is_empty() {
-            connection.map(keep);
+            connection.map(|open| keeper.keep(open));
             return pending.tell().await;
         }
         let stopped = if kept {
             pending.call.decided.elapsed() > STOPPED
         } else {
-            let opening = unstopped(Connection::open(pending.call.to, pending.call.connect_timeout));
-            match pending.during(opening, Stage::Connecting).await {
-                Some((Ok(open), stopped)) => {
+            let limit = pending.call.connect_timeout;
+            let late = if pending.call.elsewhere { limit / LATE_PART } else { limit };
+            let mut opening = Box::pin(unstopped(Connection::open(pending.call.to, limit)));
+            let up = timeout(late, opening.as_mut());
+            match pending.during(up, Stage::Connecting).await {
+                Some(Ok((Ok(open), stopped))) => {
                     connection = Some(open);
                     stopped
                 }
-                Some((Err(_), _)) => break (Some(Err(Silence::NeverRan)), false),
+                Some(Ok((Err(_), _))) => break (Some(Err(Silence::NeverRan)), false),
+                // Another endpoint may have the messages at once; this connection is kept if it comes up.
+                Some(Err(_)) => {
+                    keeper.keep_late(async move { opening.await.0.ok() });
+                    pending.part(Outcome::ConnectFailed, |_| true);
+                    return pending.tell().await;
+                }
                 // Nothing of it was written, and the socket is gone.
                 None => return pending.tell().await,
             }
         };
         if stopped && pending.during(sleep(CATCH_UP), Stage::Connecting).await.is_none() {
-            connection.map(keep);
+            connection.map(|open| keeper.keep(open));
             return pending.tell().await;
         }
         #[cfg(feature = "gate")]
@@ -97,7 +109,7 @@
         let (Some(request), Some(open)) = (request, &mut connection) else {
             // Whatever happens, the module hears of each attempt: one that never ends holds its slot for ever.
             pending.part(Outcome::NotSent, |_| true);
-            connection.map(keep);
+            connection.map(|open| keeper.keep(open));
             return pending.tell().await;
         };
         tracing::debug!(
@@ -140,7 +152,7 @@
     }
     if let Some(answer) = answer {
         let whole = answer.as_ref().is_ok_and(|a| a.whole && !a.spoilt);
-        connection.filter(|_| whole).map(keep);
+        connection.filter(|_| whole).map(|open| keeper.keep(open));
         pending.given_up.extend(outcomes(&pending.waiting, &answer));
     }
     pending.tell().await;
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -84,11 +84,45 @@
 #[derive(Debug)]
 struct Shared {
     endpoints: HashMap<EndpointId, Kept>,
-    /// Idle connections over all endpoints, and the most of them.
+    /// Idle connections over all endpoints, and those that come up with no call waiting for them; the most of both.
     idle: usize,
+    late: usize,
     idle_most: usize,
 }
 
+/// Where a call's connection goes when the call needs it no longer.
+pub(crate) struct Keeper {
+    shared: Arc<Mutex<Shared>>,
+    endpoint: EndpointId,
+    to: SocketAddr,
+}
+
+impl Keeper {
+    /// Keeps a connection for a later call, or closes it.
+    pub(crate) fn keep(self, connection: Connection) {
+        lock(&self.shared).keep(self.endpoint, self.to, connection);
+    }
+
+    /// Lets a connection come up that no call waits for any longer, and keeps it then. Where there are as many as may be
+    /// it is given up.
+    pub(crate) fn keep_late(self, opening: impl Future<Output = Option<Connection>> + Send + 'static) {
+        {
+            let mut shared = lock(&self.shared);
+            if shared.idle + shared.late >= shared.idle_most {
+                return;
+            }
+            shared.late += 1;
+        }
+        tokio::spawn(async move {
+            let open = opening.await;
+            lock(&self.shared).late -= 1;
+            if let Some(connection) = open {
+                self.keep(connection);
+            }
+        });
+    }
+}
+
 /// Idle connections to one endpoint.
 #[derive(Debug)]
 struct Kept {
@@ -99,7 +133,7 @@
 impl Pool {
     /// Keeps at most `idle_most` idle connections, each for a little less than the peers' `idle_close`.
     pub fn new(idle_most: usize, idle_close: Duration) -> Self {
-        let shared = Shared { endpoints: HashMap::new(), idle: 0, idle_most };
+        let shared = Shared { endpoints: HashMap::new(), idle: 0, late: 0, idle_most };
         let idle_limit = idle_close - idle_close / IDLE_MARGIN;
         Pool { shared: Arc::new(Mutex::new(shared)), idle_limit, gate: Gated::default() }
     }
@@ -145,10 +179,8 @@
     fn start(&mut self, call: Call, results: Sender<Input>) {
         let (endpoint, to) = (call.endpoint, call.to);
         let idle = self.lock().take(endpoint, to);
-        let shared = self.shared.clone();
-        tokio::spawn(calls::make(call, idle, results, self.gate.clone(), move |connection| {
-            lock(&shared).keep(endpoint, to, connection);
-        }));
+        let keeper = Keeper { shared: self.shared.clone(), endpoint, to };
+        tokio::spawn(calls::make(call, idle, results, self.gate.clone(), keeper));
     }
 
     fn endpoint(&mut self, endpoint: EndpointId, keep: Option<SocketAddr>) {
--- a/crates/http/tests/calls.rs
+++ b/crates/http/tests/calls.rs
@@ -31,6 +31,7 @@
         items,
         second_copies,
         connect_timeout,
+        elsewhere: false,
         orders,
     };
     Pool::new(4, Duration::from_secs(5)).start(call, inputs);
@@ -77,6 +78,7 @@
         items,
         second_copies: false,
         connect_timeout,
+        elsewhere: false,
         orders,
     };
     Pool::new(4, Duration::from_secs(5)).start(call, inputs);
@@ -197,6 +199,7 @@
             items,
             second_copies: true,
             connect_timeout,
+            elsewhere: false,
             orders,
         };
         pool.start(call, inputs.clone());
@@ -239,8 +242,17 @@
     let items = vec![item(1, until, until)];
     let connect_timeout = Duration::from_secs(1);
     let decided = Instant::now();
-    let call =
-        Call { endpoint: 1, dest: 10, to, decided, items, second_copies: true, connect_timeout, orders };
+    let call = Call {
+        endpoint: 1,
+        dest: 10,
+        to,
+        decided,
+        items,
+        second_copies: true,
+        connect_timeout,
+        elsewhere: false,
+        orders,
+    };
     Pool::new(4, Duration::from_secs(5)).start(call, inputs);
     (order, news)
 }
@@ -387,8 +399,17 @@
         let until = Instant::now() + SOON * 20;
         let items = vec![item(1, until, until), item(2, until, until)];
         let (connect_timeout, decided) = (Duration::from_secs(1), Instant::now());
-        let call =
-            Call { endpoint: 1, dest: 10, to, decided, items, second_copies: true, connect_timeout, orders };
+        let call = Call {
+            endpoint: 1,
+            dest: 10,
+            to,
+            decided,
+            items,
+            second_copies: true,
+            connect_timeout,
+            elsewhere: false,
+            orders,
+        };
         Pool::new(4, Duration::from_secs(5)).start(call, inputs);
         let (mut stream, _) = listener.accept().await.expect("it calls");
         assert!(stream.read(&mut [0; 4096]).await.expect("it writes") > 0);
@@ -419,6 +440,7 @@
         items,
         second_copies: true,
         connect_timeout: SOON * 2,
+        elsewhere: false,
         orders,
     };
     Pool::new(4, Duration::from_secs(5)).start(call, inputs);
@@ -431,3 +453,48 @@
         assert_eq!(late.read(&mut [0; 16]).await.unwrap_or(0), 0, "it was written");
     }
 }
+
+/// Where another endpoint may have the message it does not wait for a connection that comes up late. That one is kept, and
+/// carries the next call.
+#[tokio::test]
+async fn a_late_connection_frees_its_message_and_is_kept() {
+    let (listener, queued) = jammed().await;
+    let to = listener.local_addr().expect("it is bound");
+    let mut pool = Pool::new(4, Duration::from_secs(5));
+    pool.endpoint(1, Some(to));
+    let (inputs, mut news) = mpsc::channel(8);
+    let until = Instant::now() + SOON * 60;
+    let call = |id| {
+        let (_, orders) = mpsc::channel(2);
+        let (items, decided) = (vec![item(id, until, until)], Instant::now());
+        Call {
+            endpoint: 1,
+            dest: 10,
+            to,
+            decided,
+            items,
+            second_copies: true,
+            connect_timeout: SOON * 20,
+            elsewhere: true,
+            orders,
+        }
+    };
+    let start = Instant::now();
+    pool.start(call(1), inputs.clone());
+    assert_eq!(ended(&next(&mut news).await), [(1, Outcome::ConnectFailed)]);
+    assert!(start.elapsed() < SOON * 10, "{:?}", start.elapsed());
+    for _ in 0..queued.len() {
+        listener.accept().await.expect("one was queued");
+    }
+    let (mut late, _) = timeout(SOON * 20, listener.accept()).await.expect("tried again").expect("it is up");
+    // The program sees it as soon as the test does.
+    tokio::time::sleep(SOON).await;
+    pool.start(call(2), inputs);
+    let mut text = Vec::new();
+    while !text.ends_with(b"body") {
+        assert!(
+            timeout(SOON * 4, late.read_buf(&mut text)).await.expect("on this one").expect("it writes") > 0
+        );
+    }
+    assert!(String::from_utf8_lossy(&text).contains("m2"));
+}
--- a/crates/yarrowhill/tests/rare.rs
+++ b/crates/yarrowhill/tests/rare.rs
@@ -454,6 +454,30 @@
 
 // ---- Calls ----
 
+/// One of two targets accepts no connection: messages go to the other long before the connection's time is up.
+#[tokio::test]
+async fn messages_do_not_wait_for_one_late_connection() {
+    let (discovery, jammed, mut other) =
+        (Discovery::start().await, Jammed::start().await, Stub::start().await);
+    let known = [
+        target("t", jammed.addr, 7, "plain", "in_service"),
+        target("u", other.addr, 7, "plain", "in_service"),
+    ];
+    let f = Forwarder::start(&discovery, &known, |c| {
+        c["settings"]["limits"]["connectTimeout"] = json!(6000.0);
+    })
+    .await;
+    for n in 0..8 {
+        assert_eq!(f.hand_in("unsafe", &format!("m{n}"), 20_000).await.status(), 202);
+    }
+    let start = Instant::now();
+    for n in 0..8 {
+        let left = Duration::from_secs(4).saturating_sub(start.elapsed());
+        let call = other.next_within(left).await;
+        call.unwrap_or_else(|| panic!("message {n} waits for the other connection")).answer(200);
+    }
+}
+
 /// A wait stands in a head that is whole; the body behind it is not.
 #[tokio::test]
 async fn a_wait_in_an_answer_that_never_ends_binds() {
