Count connections that come up late among those that may be idle

Cause, found by reading: a connection that nobody waits for was counted only when it began, so that idle ones could grow beyond their share of the descriptors beside it. Change: keeping one looks at both. The tests of single calls make them in one place.

--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -166,7 +166,7 @@
 
     /// Keeps a connection, unless its endpoint has moved or gone since, or there are enough of them.
     fn keep(&mut self, endpoint: EndpointId, to: SocketAddr, connection: Connection) {
-        if self.idle < self.idle_most
+        if self.idle + self.late < self.idle_most
             && let Some(kept) = self.endpoints.get_mut(&endpoint).filter(|kept| kept.to == to)
         {
             kept.idle.push((Instant::now(), connection));
--- a/crates/http/tests/calls.rs
+++ b/crates/http/tests/calls.rs
@@ -13,6 +13,21 @@
 
 const SOON: Duration = Duration::from_millis(150);
 
+/// A call to this address, as most tests make it.
+fn call(to: SocketAddr, items: Vec<Item>, orders: mpsc::Receiver<yarrowhill_engine::Order>) -> Call {
+    Call {
+        endpoint: 1,
+        dest: 10,
+        to,
+        decided: Instant::now(),
+        items,
+        second_copies: true,
+        connect_timeout: Duration::from_secs(1),
+        elsewhere: false,
+        orders,
+    }
+}
+
 /// Sends two messages in one call, the first with less time than the second, to an endpoint that never answers.
 /// Gives the first news of the call and the endpoint's side of the connection, read up to the request's end.
 async fn first_news(second_copies: bool) -> (CallEnd, TcpStream) {
@@ -22,18 +37,7 @@
     let item = |id, left| item(id, Instant::now() + left, Instant::now() + left);
     let (_orders, orders) = mpsc::channel(3);
     let items = vec![item(1, SOON), item(2, SOON * 20)];
-    let connect_timeout = Duration::from_secs(1);
-    let call = Call {
-        endpoint: 1,
-        dest: 10,
-        to,
-        decided: Instant::now(),
-        items,
-        second_copies,
-        connect_timeout,
-        elsewhere: false,
-        orders,
-    };
+    let call = Call { second_copies, ..call(to, items, orders) };
     Pool::new(4, Duration::from_secs(5)).start(call, inputs);
     let (mut stream, _) = listener.accept().await.expect("it calls");
     let mut text = Vec::new();
@@ -69,18 +73,7 @@
     let (_orders, orders) = mpsc::channel(3);
     let now = Instant::now();
     let items = vec![item(1, now + SOON * 60, now + SOON), item(2, now + SOON * 60, now + SOON * 60)];
-    let connect_timeout = SOON * 50;
-    let call = Call {
-        endpoint: 1,
-        dest: 10,
-        to,
-        decided: Instant::now(),
-        items,
-        second_copies: false,
-        connect_timeout,
-        elsewhere: false,
-        orders,
-    };
+    let call = Call { second_copies: false, connect_timeout: SOON * 50, ..call(to, items, orders) };
     Pool::new(4, Duration::from_secs(5)).start(call, inputs);
     match timeout(SOON * 10, news.recv()).await.expect("its time is up") {
         Some(Input::Call(end)) => assert_eq!(ended(&end), [(1, Outcome::NotSent)]),
@@ -190,19 +183,7 @@
         let (_orders, orders) = mpsc::channel(2);
         let until = Instant::now() + SOON * 20;
         let items = vec![item(id, until, until)];
-        let connect_timeout = Duration::from_secs(1);
-        let call = Call {
-            endpoint: 1,
-            dest: 10,
-            to,
-            decided: Instant::now(),
-            items,
-            second_copies: true,
-            connect_timeout,
-            elsewhere: false,
-            orders,
-        };
-        pool.start(call, inputs.clone());
+        pool.start(call(to, items, orders), inputs.clone());
         match timeout(SOON * 30, news.recv()).await.expect("it ends") {
             Some(Input::Call(end)) => outcomes.extend(end.ended.iter().map(|e| e.outcome)),
             other => panic!("{other:?}"),
@@ -240,20 +221,7 @@
     let (inputs, news) = mpsc::channel(8);
     let (order, orders) = mpsc::channel(2);
     let items = vec![item(1, until, until)];
-    let connect_timeout = Duration::from_secs(1);
-    let decided = Instant::now();
-    let call = Call {
-        endpoint: 1,
-        dest: 10,
-        to,
-        decided,
-        items,
-        second_copies: true,
-        connect_timeout,
-        elsewhere: false,
-        orders,
-    };
-    Pool::new(4, Duration::from_secs(5)).start(call, inputs);
+    Pool::new(4, Duration::from_secs(5)).start(call(to, items, orders), inputs);
     (order, news)
 }
 
@@ -398,19 +366,7 @@
         let (_orders, orders) = mpsc::channel(3);
         let until = Instant::now() + SOON * 20;
         let items = vec![item(1, until, until), item(2, until, until)];
-        let (connect_timeout, decided) = (Duration::from_secs(1), Instant::now());
-        let call = Call {
-            endpoint: 1,
-            dest: 10,
-            to,
-            decided,
-            items,
-            second_copies: true,
-            connect_timeout,
-            elsewhere: false,
-            orders,
-        };
-        Pool::new(4, Duration::from_secs(5)).start(call, inputs);
+        Pool::new(4, Duration::from_secs(5)).start(call(to, items, orders), inputs);
         let (mut stream, _) = listener.accept().await.expect("it calls");
         assert!(stream.read(&mut [0; 4096]).await.expect("it writes") > 0);
         let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: 80\r\n\r\n{cut}");
@@ -431,18 +387,7 @@
     let (inputs, mut news) = mpsc::channel(8);
     let (_orders, orders) = mpsc::channel(3);
     let until = Instant::now() + SOON * 60;
-    let (items, decided) = (vec![item(1, until, until)], Instant::now());
-    let call = Call {
-        endpoint: 1,
-        dest: 10,
-        to,
-        decided,
-        items,
-        second_copies: true,
-        connect_timeout: SOON * 2,
-        elsewhere: false,
-        orders,
-    };
+    let call = Call { connect_timeout: SOON * 2, ..call(to, vec![item(1, until, until)], orders) };
     Pool::new(4, Duration::from_secs(5)).start(call, inputs);
     assert_eq!(ended(&next(&mut news).await), [(1, Outcome::ConnectFailed)]);
     for _ in 0..queued.len() {
@@ -466,18 +411,7 @@
     let until = Instant::now() + SOON * 60;
     let call = |id| {
         let (_, orders) = mpsc::channel(2);
-        let (items, decided) = (vec![item(id, until, until)], Instant::now());
-        Call {
-            endpoint: 1,
-            dest: 10,
-            to,
-            decided,
-            items,
-            second_copies: true,
-            connect_timeout: SOON * 20,
-            elsewhere: true,
-            orders,
-        }
+        Call { connect_timeout: SOON * 20, elsewhere: true, ..call(to, vec![item(id, until, until)], orders) }
     };
     let start = Instant::now();
     pool.start(call(1), inputs.clone());
