--- a/crates/http/src/calls.rs
+++ b/crates/http/src/calls.rs
@@ -69,7 +69,7 @@
         let kept = connection.is_some();
         pending.heed();
         if pending.waiting.is_empty() {
-            connection.map(|open| keeper.keep(open));
+            keeper.keep(connection);
             return pending.tell().await;
         }
         let stopped = if kept {
@@ -96,7 +96,7 @@
             }
         };
         if stopped && pending.during(sleep(CATCH_UP), Stage::Connecting).await.is_none() {
-            connection.map(|open| keeper.keep(open));
+            keeper.keep(connection);
             return pending.tell().await;
         }
         #[cfg(feature = "gate")]
@@ -109,7 +109,7 @@
         let (Some(request), Some(open)) = (request, &mut connection) else {
             // Whatever happens, the module hears of each attempt: one that never ends holds its slot for ever.
             pending.part(Outcome::NotSent, |_| true);
-            connection.map(|open| keeper.keep(open));
+            keeper.keep(connection);
             return pending.tell().await;
         };
         tracing::debug!(
@@ -152,7 +152,7 @@
     }
     if let Some(answer) = answer {
         let whole = answer.as_ref().is_ok_and(|a| a.whole && !a.spoilt);
-        connection.filter(|_| whole).map(|open| keeper.keep(open));
+        keeper.keep(connection.filter(|_| whole));
         pending.given_up.extend(outcomes(&pending.waiting, &answer));
     }
     pending.tell().await;
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -99,8 +99,10 @@
 
 impl Keeper {
     /// Keeps a connection for a later call, or closes it.
-    pub(crate) fn keep(self, connection: Connection) {
-        lock(&self.shared).keep(self.endpoint, self.to, connection);
+    pub(crate) fn keep(self, connection: Option<Connection>) {
+        if let Some(connection) = connection {
+            lock(&self.shared).keep(self.endpoint, self.to, connection);
+        }
     }
 
     /// Lets a connection come up that no call waits for any longer, and keeps it then. Where there are as many as may be
@@ -116,9 +118,7 @@
         tokio::spawn(async move {
             let open = opening.await;
             lock(&self.shared).late -= 1;
-            if let Some(connection) = open {
-                self.keep(connection);
-            }
+            self.keep(open);
         });
     }
 }
