--- a/crates/http/src/calls.rs
+++ b/crates/http/src/calls.rs
@@ -1,7 +1,7 @@
 //! Calls to endpoints: one connection carries one call at a time, and each message in it gets its outcome.
 
 use crate::connection::{self, Broken, Connection, GiveUp};
-use crate::pool::{Gated, Keeper};
+use crate::pool::{CheckIn, Gated};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
@@ -47,7 +47,7 @@
     mut connection: Option<Connection>,
     results: Sender<Input>,
     gate: Gated,
-    keeper: Keeper,
+    check_in: CheckIn,
 ) {
     let (waiting, now) = (std::mem::take(&mut call.items), Instant::now());
     let mut pending = Pending {
@@ -69,7 +69,7 @@
         let kept = connection.is_some();
         pending.heed();
         if pending.waiting.is_empty() {
-            keeper.keep(connection);
+            check_in.now(connection);
             return pending.tell().await;
         }
         let stopped = if kept {
@@ -87,7 +87,7 @@
                 Some(Ok((Err(_), _))) => break (Some(Err(Silence::NeverRan)), false),
                 // Another endpoint may have the messages at once; this connection is kept if it comes up.
                 Some(Err(_)) => {
-                    keeper.keep_late(async move { opening.await.0.ok() });
+                    check_in.once_up(async move { opening.await.0.ok() });
                     pending.part(Outcome::ConnectFailed, |_| true);
                     return pending.tell().await;
                 }
@@ -96,7 +96,7 @@
             }
         };
         if stopped && pending.during(sleep(CATCH_UP), Stage::Connecting).await.is_none() {
-            keeper.keep(connection);
+            check_in.now(connection);
             return pending.tell().await;
         }
         #[cfg(feature = "gate")]
@@ -109,7 +109,7 @@
         let (Some(request), Some(open)) = (request, &mut connection) else {
             // Whatever happens, the module hears of each attempt: one that never ends holds its slot for ever.
             pending.part(Outcome::NotSent, |_| true);
-            keeper.keep(connection);
+            check_in.now(connection);
             return pending.tell().await;
         };
         tracing::debug!(
@@ -152,7 +152,7 @@
     }
     if let Some(answer) = answer {
         let whole = answer.as_ref().is_ok_and(|a| a.whole && !a.spoilt);
-        keeper.keep(connection.filter(|_| whole));
+        check_in.now(connection.filter(|_| whole));
         pending.given_up.extend(outcomes(&pending.waiting, &answer));
     }
     pending.tell().await;
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -91,15 +91,15 @@
 }
 
 /// Where a call's connection goes when the call needs it no longer.
-pub(crate) struct Keeper {
+pub(crate) struct CheckIn {
     shared: Arc<Mutex<Shared>>,
     endpoint: EndpointId,
     to: SocketAddr,
 }
 
-impl Keeper {
+impl CheckIn {
     /// Keeps a connection for a later call, or closes it.
-    pub(crate) fn keep(self, connection: Option<Connection>) {
+    pub(crate) fn now(self, connection: Option<Connection>) {
         if let Some(connection) = connection {
             lock(&self.shared).keep(self.endpoint, self.to, connection);
         }
@@ -107,7 +107,7 @@
 
     /// Lets a connection come up that no call waits for any longer, and keeps it then. Where there are as many as may be
     /// it is given up.
-    pub(crate) fn keep_late(self, opening: impl Future<Output = Option<Connection>> + Send + 'static) {
+    pub(crate) fn once_up(self, opening: impl Future<Output = Option<Connection>> + Send + 'static) {
         {
             let mut shared = lock(&self.shared);
             if shared.idle + shared.late >= shared.idle_most {
@@ -118,7 +118,7 @@
         tokio::spawn(async move {
             let open = opening.await;
             lock(&self.shared).late -= 1;
-            self.keep(open);
+            self.now(open);
         });
     }
 }
@@ -179,8 +179,8 @@
     fn start(&mut self, call: Call, results: Sender<Input>) {
         let (endpoint, to) = (call.endpoint, call.to);
         let idle = self.lock().take(endpoint, to);
-        let keeper = Keeper { shared: self.shared.clone(), endpoint, to };
-        tokio::spawn(calls::make(call, idle, results, self.gate.clone(), keeper));
+        let check_in = CheckIn { shared: self.shared.clone(), endpoint, to };
+        tokio::spawn(calls::make(call, idle, results, self.gate.clone(), check_in));
     }
 
     fn endpoint(&mut self, endpoint: EndpointId, keep: Option<SocketAddr>) {
