--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -704,3 +704,74 @@
     // Probes are made, but far less often than messages are submitted.
     assert!((2..=45).contains(&probes), "{probes} probes in the last seven seconds");
 }
+
+/// Submits messages with these ids in one turn, and returns the ids that are sent in it.
+fn sent_together(harness: &mut Harness, messages: impl IntoIterator<Item = (MessageId, usize)>) -> Vec<u64> {
+    let expires_at = harness.now + 16 * SEC;
+    let submit = |(id, class)| {
+        Event::Submit(SubmittedMessage {
+            id,
+            class,
+            tenant: None,
+            key: None,
+            expires_at,
+            dest: 1,
+            history: MessageHistory::default(),
+        })
+    };
+    let sent = sends(&harness.turn(messages.into_iter().map(submit).collect()));
+    sent.into_iter().map(|(id, _)| id).collect()
+}
+
+/// Returns a sender to a destination with batches that has just answered a call.
+fn answered_by_batch_destination() -> Harness {
+    let mut harness = Harness::new(settings(), vec![entry(10, 1, 2)]);
+    assert_eq!(sent_together(&mut harness, [(0, 0)]), [0]);
+    harness.now += 100 * MS;
+    harness.end_attempt(0, 0, Outcome::Delivered, 100 * MS);
+    harness
+}
+
+/// A kill in the moment of a call lost every unsafe message that was held for its destination.
+#[test]
+fn one_call_carries_at_most_half_of_the_unsafe_messages_of_its_destination() {
+    let mut harness = answered_by_batch_destination();
+    let sent = sent_together(&mut harness, (1..=16).map(|id| (id, 2)));
+    assert_eq!(sent.len(), 8, "{sent:?}");
+    // What may be repeated fills the call.
+    let mut harness = answered_by_batch_destination();
+    let sent = sent_together(&mut harness, (1..=16).map(|id| (id, 2)).chain((17..=26).map(|id| (id, 0))));
+    assert_eq!(sent.iter().filter(|id| **id <= 16).count(), 8, "{sent:?}");
+    assert_eq!(sent.len(), 18, "{sent:?}");
+    // A few messages travel together.
+    let mut harness = answered_by_batch_destination();
+    assert_eq!(sent_together(&mut harness, (1..=4).map(|id| (id, 2))).len(), 4);
+}
+
+/// A kill lost all unsafe messages of a call on a connection that had just opened, or had fallen silent while
+/// it was idle.
+#[test]
+fn a_call_that_may_get_no_response_carries_few_unsafe_messages() {
+    let batch = |harness: &mut Harness| sent_together(harness, (1..=20).map(|id| (id, 2))).len();
+    let mut fresh = Harness::new(settings(), vec![entry(10, 1, 2)]);
+    assert_eq!(batch(&mut fresh), 5, "on a new connection");
+    let mut idle = answered_by_batch_destination();
+    idle.now += SEC;
+    assert_eq!(batch(&mut idle), 5, "on a connection that was idle for long");
+    let mut overdue = answered_by_batch_destination();
+    assert_eq!(sent_together(&mut overdue, [(100, 0)]), [100]);
+    overdue.now += 1200 * MS;
+    assert_eq!(sent_together(&mut overdue, [(101, 0)]), [101]);
+    overdue.now += 10 * MS;
+    overdue.end_attempt(101, 0, Outcome::Delivered, 10 * MS);
+    overdue.now += 350 * MS;
+    assert_eq!(batch(&mut overdue), 5, "while a call is overdue");
+}
+
+#[test]
+fn unsafe_messages_left_behind_by_a_call_follow_in_the_next_turn() {
+    let mut harness = answered_by_batch_destination();
+    let first = sent_together(&mut harness, (1..=16).map(|id| (id, 2)));
+    let rest = timed_sends(&harness.advance(5 * MS));
+    assert!(!rest.is_empty() && rest.iter().all(|(_, id, _)| !first.contains(id)), "{rest:?}");
+}
