Take back the limit on unsafe messages in one call: it costs too much

Destinations admit about one call a second of each forwarder there, so that a call that leaves messages behind wastes what the limit allows.

--- a/crates/policy/src/balancer/admission.rs
+++ b/crates/policy/src/balancer/admission.rs
@@ -80,15 +80,10 @@
             }
             let Some((_, dest, endpoint, id, is_degraded)) = best else { break };
             degraded_calls += usize::from(is_degraded);
-            let is_limited = self.send(now, dest, endpoint, id, actions);
+            self.send(now, dest, endpoint, id, actions);
             // A send does not affect the other offers, and computing all of them again would be expensive.
             offers.remove(&dest);
-            if self.dests_with_queue.contains(&dest) {
-                // The host puts what one turn sends to an endpoint into one call, so the messages that this
-                // call must not carry wait for the next turn.
-                let next_turn = Offer { is_degraded, send: Err(now + self.params.tick) };
-                offers.insert(dest, if is_limited { next_turn } else { self.offer(dest, now) });
-            }
+            offers.extend(self.dests_with_queue.contains(&dest).then(|| (dest, self.offer(dest, now))));
         }
         self.cancel_overdue(now, actions);
         self.close_idle(now, actions);
--- a/crates/policy/src/balancer/selection.rs
+++ b/crates/policy/src/balancer/selection.rs
@@ -8,26 +8,17 @@
 
 /// Timeout of repeatable messages as a multiple of the usual latency; it is at least two target latencies.
 const TIMEOUT_LATENCY_FACTOR: f64 = 10.0;
-/// A connection that has been idle for longer than the idle timeout divided by this may have fallen silent.
-const RESPONSIVE_IDLE_DIVISOR: Micros = 8;
-/// A call carries at most one N-th of the unsafe messages that are queued for its destination.
-const UNSAFE_SHARE_DIVISOR: usize = 2;
-/// The same for a call that may get no response.
-const UNCERTAIN_UNSAFE_SHARE_DIVISOR: usize = 4;
-/// Up to one N-th of a full batch may be unsafe messages in any case.
-const MIN_UNSAFE_DIVISOR: usize = 5;
 
 impl Balancer {
-    /// Returns the message with the highest value for a call to a scope, with that value; an unsafe one only
-    /// if `may_be_unsafe` is true. Of each queue only the first message that can still be on time and the
-    /// first of all are considered; of equal values the message that is due first is returned.
+    /// Returns the message with the highest value for a call to a scope, with that value. Of each queue only
+    /// the first message that can still be on time and the first of all are considered; of equal values the
+    /// message that is due first is returned.
     pub(super) fn best_message(
         &self,
         dest: &Dest,
         scope: &Scope,
         endpoint: &Endpoint,
         now: Micros,
-        may_be_unsafe: bool,
     ) -> Option<(f64, MessageId)> {
         let at = now + scope.usual_latency as Micros;
         let is_risky = scope.loss_share(now, &self.params) > DEGRADED_FAILURE_SHARE;
@@ -45,7 +36,7 @@
             let effect = effect(*class);
             // Only messages whose loss does the minimum harm serve as probes: an unsafe message, which an
             // error would lose, is not used while another one is queued.
-            if is_probe && harm(*class) > min_harm || effect == Effect::Unsafe && !may_be_unsafe {
+            if is_probe && harm(*class) > min_harm {
                 continue;
             }
             let per_zone = matches!(effect, Effect::Keyed { per_zone: true, .. });
@@ -126,7 +117,7 @@
             });
             if ready > now {
                 check_at = check_at.min(ready);
-            } else if let Some((value, message)) = self.best_message(dest, scope, endpoint, now, true) {
+            } else if let Some((value, message)) = self.best_message(dest, scope, endpoint, now) {
                 let slot_time =
                     scope.usual_latency.max(scope.recent_latency).max(self.params.target_latency / 32.0);
                 return Ok((value * batch / slot_time, id, message));
@@ -137,26 +128,8 @@
         Err(check_at)
     }
 
-    /// Returns how many unsafe messages a call may carry. If the process is killed before the response, or
-    /// the connection has fallen silent, all that the call carries may have run, and its unsafe messages are
-    /// lost even if no byte arrived. So one call never takes all of them, and takes fewer if its connection
-    /// has not responded lately or earlier calls got no response.
-    fn max_unsafe_in_call(&self, dest: DestId, endpoint: EndpointId, now: Micros) -> usize {
-        let (dest, endpoint) = (&self.dests[&dest], &self.endpoints[&endpoint]);
-        let scope = if dest.kind.independent_endpoints { &endpoint.scope } else { &dest.scope };
-        let max_idle = self.params.settings.idle_timeout / RESPONSIVE_IDLE_DIVISOR;
-        let is_responsive = endpoint.idle_connections.back().is_some_and(|at| now - at <= max_idle);
-        let is_uncertain = !is_responsive || scope.overdue_calls(now, &self.params) > 0;
-        let divisor = if is_uncertain { UNCERTAIN_UNSAFE_SHARE_DIVISOR } else { UNSAFE_SHARE_DIVISOR };
-        let is_unsafe = |class: usize| self.params.settings.classes[class].effect == Effect::Unsafe;
-        let queues = dest.queues.iter().filter(|((class, _), _)| is_unsafe(*class));
-        let queued: usize = queues.map(|(_, queue)| queue.len()).sum();
-        queued.div_ceil(divisor).max(dest.kind.max_batch / MIN_UNSAFE_DIVISOR).max(1)
-    }
-
     /// Sends one call with the message `first` and, where the kind of destination allows it, other messages
-    /// queued for the same destination. Returns whether unsafe messages were left behind although the call
-    /// had room for more.
+    /// queued for the same destination.
     pub(super) fn send(
         &mut self,
         now: Micros,
@@ -164,9 +137,8 @@
         endpoint: EndpointId,
         first: MessageId,
         actions: &mut Vec<Action>,
-    ) -> bool {
+    ) {
         let (params, call) = (self.params.clone(), self.next_call);
-        let mut unsafe_left = self.max_unsafe_in_call(dest, endpoint, now);
         self.next_call += 1;
         let kind = self.dests[&dest].kind;
         let usual_latency = self.scope(dest, endpoint).usual_latency.max(params.target_latency / 16.0);
@@ -189,13 +161,12 @@
             // latency.
             let time_left = (message.submitted.expires_at - now).max(1);
             let is_repeatable = params.settings.classes[class].effect != Effect::Unsafe;
-            unsafe_left -= usize::from(!is_repeatable);
             let short = (TIMEOUT_LATENCY_FACTOR * usual_latency).max(2.0 * params.target_latency) as Micros;
             let timeout = if is_repeatable { short.min(time_left) } else { time_left };
             actions.push(Action::Send { id, endpoint, timeout, begin_by });
             let (dest, endpoint) = (&self.dests[&dest], &self.endpoints[&endpoint]);
             let scope = if kind.independent_endpoints { &endpoint.scope } else { &dest.scope };
-            next = self.best_message(dest, scope, endpoint, now, unsafe_left > 0).map(|(_, id)| id);
+            next = self.best_message(dest, scope, endpoint, now).map(|(_, id)| id);
         }
         self.calls.insert(call, batch);
         *self.calls_by_dest.entry(dest).or_default() += 1;
@@ -203,6 +174,5 @@
         endpoint_state.calls_in_flight += 1;
         endpoint_state.idle_connections.pop_back();
         self.scope(dest, endpoint).record_send(call, now, batch >= kind.max_batch, &params);
-        unsafe_left == 0 && batch < kind.max_batch
     }
 }
