Find the message to shed without a walk over the recovered ones

Seen by callers: near the cap on held messages, each submission stepped over all messages that an earlier process had accepted: answers and calls of the whole forwarder were late.

Change: `MessageQueue` keeps new and recovered messages in two ordered sets, so that the first of each kind and the first of all are looked up. `bench shed` measures a submission at the cap.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -5,6 +5,7 @@
 //! - `recover`: time and memory of a start with a large journal
 //! - `scale`: engine time per message, by the number of open messages and of recorded ends
 //! - `routes`: rule lookup by the index against a list scan, address match by the trie against a scan
+//! - `shed`: time of a submission near the cap on held messages, by the number of recovered ones
 //! - `journal`: journal appends against plain `write(2)` of the same number of bytes
 
 mod daemon;
@@ -13,6 +14,7 @@
 mod recover;
 mod routes;
 mod scale;
+mod shed;
 
 use clap::{Parser, Subcommand};
 use std::error::Error;
@@ -61,6 +63,8 @@
         #[arg(long, default_value = "scale.svg")]
         plot: std::path::PathBuf,
     },
+    /// Measures the time of a submission near the cap on held messages.
+    Shed,
     /// Opens a journal and reports the cost; run by `recover`.
     #[command(hide = true)]
     Reopen {
@@ -84,6 +88,7 @@
         Command::Recover { ends, open } => recover::measure(ends, open),
         Command::Reopen { folder } => recover::reopen(folder),
         Command::Routes => routes::compare(),
+        Command::Shed => shed::measure(),
         Command::Scale { plot } => scale::measure(&plot),
         Command::Passthrough { listen, to } => passthrough::run(listen, to),
     }
--- a/crates/policy/src/balancer/messages.rs
+++ b/crates/policy/src/balancer/messages.rs
@@ -1,5 +1,6 @@
 //! The life of held messages: they are submitted, queued, deferred, shed and given their final answer.
 
+use super::message_queue::MessageQueue;
 use super::params::SECOND_US;
 use super::scope::Scope;
 use super::state::{Balancer, Dest, Message, Placement};
@@ -118,7 +119,7 @@
         let new = || Dest { scope: Scope::new(now, &mut self.seed), ..Dest::default() };
         let dest = self.dests.entry(message.submitted.dest).or_insert_with(new);
         let queue = dest.queues.entry((message.submitted.class, message.over_quota)).or_default();
-        queue.insert((message.due, id));
+        queue.insert(message.due, id, message.submitted.history.was_accepted);
         self.dests_with_queue.insert(message.submitted.dest);
     }
 
@@ -131,7 +132,7 @@
             && let Some(dest) = self.dests.get_mut(&message.submitted.dest)
         {
             let queue = dest.queues.entry((message.submitted.class, message.over_quota)).or_default();
-            queue.remove(&(message.due, id));
+            queue.remove(message.due, id);
             dest.queues.retain(|_, queue| !queue.is_empty());
             if dest.queues.is_empty() {
                 self.dests_with_queue.remove(&message.submitted.dest);
@@ -194,22 +195,25 @@
     /// and the cap is exceeded, as a refused new client can still submit elsewhere.
     pub(super) fn shed(&mut self, now: Micros, actions: &mut Vec<Action>) {
         let exceeds_cap = self.messages.len() > self.params.settings.max_held_messages;
-        let recovered = || self.cheapest_queued(now, |message| message.submitted.history.was_accepted);
+        let recovered = || self.cheapest_queued(now, MessageQueue::first_recovered);
         let id = self
-            .cheapest_queued(now, |message| !message.submitted.history.was_accepted)
-            .or_else(|| recovered().filter(|_| exceeds_cap));
+            .cheapest_queued(now, MessageQueue::first_new)
+            .or_else(|| exceeds_cap.then(recovered).flatten());
         if let Some(id) = id {
             self.refuse_or_fail(now, id, actions);
         }
     }
 
-    /// Returns the message with the lowest value divided by the length of its queue, of the first messages of
-    /// all queues that fulfil the condition.
-    fn cheapest_queued(&self, now: Micros, is_candidate: impl Fn(&Message) -> bool) -> Option<MessageId> {
+    /// Returns the message with the lowest value divided by the length of its queue, of the candidates of all
+    /// queues.
+    fn cheapest_queued(
+        &self,
+        now: Micros,
+        candidate: impl Fn(&MessageQueue) -> Option<MessageId>,
+    ) -> Option<MessageId> {
         let queues = self.dests_with_queue.iter().flat_map(|dest| self.dests[dest].queues.values());
         let values = queues.filter_map(|queue| {
-            let mut ids = queue.iter().map(|(_, id)| *id);
-            let id = ids.find(|id| is_candidate(&self.messages[id]))?;
+            let id = candidate(queue)?;
             Some((self.value(&self.messages[&id], now) / queue.len() as f64, id))
         });
         values.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, id)| id)
--- a/crates/policy/src/balancer/mod.rs
+++ b/crates/policy/src/balancer/mod.rs
@@ -5,6 +5,7 @@
 
 mod admission;
 mod endpoint_list;
+mod message_queue;
 mod messages;
 mod outcomes;
 mod params;
--- a/crates/policy/src/balancer/selection.rs
+++ b/crates/policy/src/balancer/selection.rs
@@ -1,10 +1,10 @@
 //! Selection of what to send: the best message and endpoint of a destination, and the call that carries the
 //! message.
 
+use super::message_queue::MessageQueue;
 use super::scope::{DEGRADED_FAILURE_SHARE, Phase, Scope};
 use super::state::{Attempt, Balancer, Dest, Endpoint, Placement};
 use crate::api::{Action, DestId, Effect, EndpointId, MessageId, Micros};
-use std::collections::BTreeSet;
 
 /// Timeout of repeatable messages as a multiple of the usual latency; it is at least two target latencies.
 const TIMEOUT_LATENCY_FACTOR: f64 = 10.0;
@@ -40,7 +40,7 @@
                 continue;
             }
             let per_zone = matches!(effect, Effect::Keyed { per_zone: true, .. });
-            for &(due, id) in queue.range((at, 0)..).next().into_iter().chain(queue.first()) {
+            for (due, id) in queue.first_due_from(at).into_iter().chain(queue.first()) {
                 let message = &self.messages[&id];
                 let other_zone =
                     per_zone && message.first_possible_run.is_some_and(|(_, zone)| zone != endpoint.zone);
@@ -101,7 +101,7 @@
         let mut check_at = Micros::MAX;
         // A call takes one slot and earns the value of all messages that it carries; counted by its first
         // message alone, destinations with batches would be starved.
-        let queued: usize = dest.queues.values().map(BTreeSet::len).sum();
+        let queued: usize = dest.queues.values().map(MessageQueue::len).sum();
         let batch = queued.min(dest.kind.max_batch.max(1)) as f64;
         for (_, id) in self.ranked_endpoints(dest, now) {
             let endpoint = &self.endpoints[&id];
--- a/crates/policy/src/balancer/state.rs
+++ b/crates/policy/src/balancer/state.rs
@@ -1,5 +1,6 @@
 //! The state of one sender: destinations, endpoints, messages and attempts.
 
+use super::message_queue::MessageQueue;
 use super::params::Params;
 use super::scope::Scope;
 use crate::api::{DestId, DestKind, EndpointId, MessageId, Micros, SubmittedMessage};
@@ -14,9 +15,8 @@
     pub(super) kind: DestKind,
     /// Endpoints in service.
     pub(super) endpoints: BTreeSet<EndpointId>,
-    /// Messages ready to be sent, by class and by whether their tenant exceeds its quota; within a queue
-    /// ordered by the time until which they keep their full value.
-    pub(super) queues: BTreeMap<(usize, bool), BTreeSet<(Micros, MessageId)>>,
+    /// Messages ready to be sent, by class and by whether their tenant exceeds its quota.
+    pub(super) queues: BTreeMap<(usize, bool), MessageQueue>,
     /// Latency, health and limit of the destination. Where its endpoints are independent, each has a scope of
     /// its own as well.
     pub(super) scope: Scope,
