Count a voter as fresh only until it has promised or accepted something

What users could have seen: two holders of a duty, or a step decided twice, after voters lost their folders one after the other.

Cause: `fresh` (duties/src/voter.rs) told for the life of a process that it had started with an empty folder. A voter that starts empty takes "all others are fresh" for "nothing was ever decided" and votes at once, also when the others have decided much since and only the first part of their answers has arrived. In a fleet that was never restarted one lost folder was enough.

Change: a voter is fresh while all its registers are blank. A query, which creates a blank register, changes nothing. A new fleet still starts: nothing is prepared before a majority votes, and the others recover from it.

--- a/crates/duties/src/voter.rs
+++ b/crates/duties/src/voter.rs
@@ -11,7 +11,8 @@
 //! - Its folder holds no registers (emptied, or damaged and set aside): it votes once it has been silent for
 //!   [`Lease::silent_period`], and has then recovered from a majority of voters that does not count itself.
 //! - Its folder holds no registers, and each other voter reports that its folder held none either when its
-//!   process started: it votes once it has been silent for the same period, since nothing was ever decided.
+//!   process started, and that it has promised and accepted nothing since: it votes once it has been silent
+//!   for the same period, since nothing was ever decided.
 //!
 //! The silent period comes before the recovery: by then, a ballot that an earlier process of the voter
 //! promised is over, or is stored at another voter of each majority.
@@ -58,8 +59,8 @@
 pub struct VoterFlags {
     /// The voter answers requests.
     pub voting: bool,
-    /// The folder held no registers when the voter's process started. If that is so at all voters, nothing
-    /// was ever decided.
+    /// The folder held no registers when the voter's process started, and the voter has promised and accepted
+    /// nothing since. If that is so at all voters, nothing was ever decided.
     pub fresh: bool,
 }
 
@@ -156,7 +157,8 @@
 
     /// Returns the voter's flags for a response to a recovery request.
     pub fn flags(&self) -> VoterFlags {
-        VoterFlags { voting: self.is_voting(), fresh: self.fresh }
+        let is_blank = self.registers.values().all(|leased| leased.register == Register::default());
+        VoterFlags { voting: self.is_voting(), fresh: self.fresh && is_blank }
     }
 
     /// Returns the register of a duty for a request, if the voter answers requests.
--- a/crates/duties/src/voter/tests.rs
+++ b/crates/duties/src/voter/tests.rs
@@ -122,3 +122,53 @@
     let mut alone = Voter::new(0, LOCAL, 1, LEASE, None);
     assert_eq!(alone.tick(24, LEASE, &VoterSet::new([1])), (None, true));
 }
+
+/// Returns a voter of a new fleet that votes and has nothing to remember yet.
+fn new_voter(member: u64) -> Voter {
+    let mut voter = Voter::new(0, ProcessId { member, instance: 70 + member }, 1, LEASE, None);
+    let nonce = voter.tick(24, LEASE, &voters()).0.expect("a recovery request");
+    let fresh = VoterFlags { voting: false, fresh: true };
+    for other in (1..=3).filter(|other| *other != member) {
+        voter.handle_recovery_response(25, LEASE, &voters(), other, nonce, fresh, (None, 0), None, (0, 1));
+    }
+    assert!(voter.is_voting());
+    voter
+}
+
+/// Starts the member with an empty folder and lets it recover from the others, of whose two-part answers only
+/// the part without a register arrives.
+fn recover_from_first_parts(member: u64, others: [&Voter; 2]) -> Voter {
+    let mut voter = Voter::new(100, ProcessId { member, instance: 80 + member }, 2, LEASE, None);
+    let nonce = voter.tick(126, LEASE, &voters()).0.expect("a recovery request");
+    for other in others {
+        let (by, flags) = (other.local.member, other.flags());
+        voter.handle_recovery_response(127, LEASE, &voters(), by, nonce, flags, (None, 0), None, (0, 2));
+    }
+    voter
+}
+
+/// Voters that had started with empty folders were taken for ones that know of no decision, however much they
+/// had decided since. Two voters that lost their folders one after the other then voted without the register
+/// of a duty that a member held: they were a majority that would have given it to another.
+#[test]
+fn voters_that_lose_their_folders_one_after_the_other_wait_for_all_parts_of_their_recovery() {
+    let (mut first, mut second) = (new_voter(1), new_voter(2));
+    let held = Ballot { number: 4, proposer: ProcessId { member: 2, instance: 72 } };
+    for voter in [&mut first, &mut second] {
+        assert!(voter.flags().fresh);
+        voter.register_mut(5).expect("the voter votes").prepare(30, held);
+        assert!(!voter.flags().fresh, "it has promised a ballot");
+    }
+    let third = recover_from_first_parts(3, [&first, &second]);
+    assert!(!third.is_voting(), "the part with the register is missing");
+    let lost = recover_from_first_parts(1, [&second, &third]);
+    assert!(!lost.is_voting(), "the part with the register is missing");
+}
+
+/// A query creates an empty register, which says nothing.
+#[test]
+fn a_voter_that_was_only_queried_has_decided_nothing() {
+    let mut voter = new_voter(1);
+    assert!(voter.register_mut(5).is_some());
+    assert!(voter.flags().fresh);
+}
