Answer clients that end their sending after a request

Seen by callers: a client that shuts down its write side after a request and waits gets no answer: the connection closes within 10 ms and the message is not taken on. TCP allows any client to do so.

Cause: hyper reads on during a request and takes the end of the stream for a client that has left; it drops the request's future, and the engine then drops the message. Its `half_close` would keep it from seeing a reset too, so it was ruled out.

Change: `ObservedStream` asks its observer before it shows the end of a stream. The client connection's observer hides it while a complete request waits for its answer, within the 400 ms that a client waits (the engine's constant, now shared), and wakes the connection when the answer is ready. Resets, and ends within a head or a body, pass as before.

Result: the new test on first and later requests fails without the change (the connection ends with no bytes) and passes with it; five more guard pipelined requests, a reset, a client that gives up after 400 ms, a cut body, and many clients that never read.

--- a/crates/engine/src/engine/mod.rs
+++ b/crates/engine/src/engine/mod.rs
@@ -38,10 +38,12 @@
 const MAX_CLIENTS_PER_MESSAGE: usize = 4;
 /// Maximum number of notices in one request.
 const MAX_NOTICES_PER_BATCH: usize = 64;
-/// Time for which a client waits for its answer (microseconds; PROTOCOL, "Clients to forwarders"). An
-/// accepted message was sent at most this long before it was read, so that it expires at the client at most
-/// this much earlier than here.
-const CLIENT_TIMEOUT_US: Micros = 400_000;
+/// Time for which a client waits for its answer (PROTOCOL, "Clients to forwarders"). An accepted message was
+/// sent at most this long before it was read, so that it expires at the client at most this much earlier than
+/// here.
+pub const CLIENT_TIMEOUT: Duration = Duration::from_millis(400);
+/// [`CLIENT_TIMEOUT`] in the unit of the decision module.
+const CLIENT_TIMEOUT_US: Micros = CLIENT_TIMEOUT.as_micros() as Micros;
 /// Interval at which a persistent failure of the journal is logged again.
 const FAILURE_LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Delay that is reported to clients whose message the journal cannot record at present.
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -33,7 +33,7 @@
 pub use call::{AttemptEnd, Call, CallCommand, CallUpdate, Item};
 pub use capacity::CapacityPool;
 pub use clock::unix_now_ms;
-pub use engine::{Engine, Options, Shard};
+pub use engine::{CLIENT_TIMEOUT, Engine, Options, Shard};
 pub use gate::{CallResult, Gate};
 pub use input::Input;
 pub use list::{EndpointInfo, EndpointList, EndpointState};
--- a/crates/http/src/clients.rs
+++ b/crates/http/src/clients.rs
@@ -16,16 +16,17 @@
 use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::Ordering::Relaxed;
 use std::sync::atomic::{AtomicBool, AtomicU64};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll, Waker};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::{AbortHandle, JoinSet, yield_now};
 use tokio::time::{sleep, timeout};
-use yarrowhill_engine::Phase;
+use yarrowhill_engine::{CLIENT_TIMEOUT, Phase};
 
 /// Size of a connection's read buffer. Even with many slow clients the buffers stay far below the memory
 /// limit.
@@ -114,6 +115,10 @@
     is_reading_head: AtomicBool,
     /// Whether the last request head has ambiguous body framing.
     is_ambiguous: AtomicBool,
+    /// Time from `opened_at` to the start of the last request.
+    request_began_ms: AtomicU64,
+    /// Wakes the connection's task at the end of the request, if the client has ended its sending.
+    half_closed: Mutex<Option<Waker>>,
     /// Notified when the connection is evicted.
     evicted: Notify,
 }
@@ -128,17 +133,37 @@
             idle_since_ms: AtomicU64::new(0),
             is_reading_head: AtomicBool::new(false),
             is_ambiguous: AtomicBool::new(false),
+            request_began_ms: AtomicU64::new(0),
+            half_closed: Mutex::new(None),
             evicted: Notify::new(),
         }
     }
 
     fn begin_request(&self) {
         self.has_sent_request.store(true, Relaxed);
+        self.request_began_ms.store(self.age_ms(), Relaxed);
         self.idle_since_ms.store(ConnectionState::BUSY, Relaxed);
     }
 
     fn end_request(&self) {
         self.idle_since_ms.store(self.age_ms(), Relaxed);
+        if let Some(waker) = self.lock_half_closed().take() {
+            waker.wake();
+        }
+    }
+
+    fn lock_half_closed(&self) -> MutexGuard<'_, Option<Waker>> {
+        self.half_closed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits for the end of the request in progress, if the client can still be waiting for its response.
+    fn poll_response_due(&self, cx: &Context<'_>) -> Poll<()> {
+        let waited = Duration::from_millis(self.age_ms().saturating_sub(self.request_began_ms.load(Relaxed)));
+        if self.idle_time().is_some() || waited >= CLIENT_TIMEOUT {
+            return Poll::Ready(());
+        }
+        *self.lock_half_closed() = Some(cx.waker().clone());
+        Poll::Pending
     }
 
     fn age_ms(&self) -> u64 {
@@ -260,8 +285,8 @@
     let service_state = state.clone();
     let service = service_fn(move |request| {
         let (intake, state) = (intake.clone(), service_state.clone());
+        state.begin_request();
         Box::pin(async move {
-            state.begin_request();
             let reply = intake.answer(request, state.is_ambiguous.load(Relaxed)).await;
             state.end_request();
             Ok::<_, Infallible>(reply)
@@ -330,7 +355,8 @@
 }
 
 /// Scans each request head before the HTTP parser, which hides a `Content-Length` that follows a
-/// `Transfer-Encoding` or is repeated.
+/// `Transfer-Encoding` or is repeated, and tells a client that has only ended its sending from one that has
+/// left: the parser takes both for the end of the connection.
 struct RequestObserver {
     scanner: HeadScanner,
     state: Arc<ConnectionState>,
@@ -343,4 +369,8 @@
         }
         self.state.is_reading_head.store(self.scanner.is_inside_head(), Relaxed);
     }
+
+    fn poll_end_of_stream(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        if self.scanner.is_between_requests() { self.state.poll_response_due(cx) } else { Poll::Ready(()) }
+    }
 }
--- a/crates/http/src/head_scanner.rs
+++ b/crates/http/src/head_scanner.rs
@@ -49,6 +49,11 @@
         self.has_line || !self.line.is_empty()
     }
 
+    /// Returns true if the bytes so far end with a complete request, or none has begun.
+    pub(crate) fn is_between_requests(&self) -> bool {
+        !self.is_inside_head() && self.body_left == 0 && !self.is_lost
+    }
+
     fn end_line(&mut self) -> bool {
         let line = std::mem::take(&mut self.line);
         let line = line.strip_suffix(b"\r").unwrap_or(&line);
--- a/crates/http/src/observed.rs
+++ b/crates/http/src/observed.rs
@@ -11,6 +11,13 @@
     /// Receives bytes that have just been read; the slice is never empty.
     fn received(&mut self, bytes: &[u8]);
 
+    /// Runs when the peer has ended its sending. The end is hidden from the reader until this is ready; a
+    /// pending result must wake the task once that may have changed.
+    fn poll_end_of_stream(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let _ = cx;
+        Poll::Ready(())
+    }
+
     /// Runs before each attempt to read from the stream.
     fn before_read(&mut self, stream: &TcpStream) {
         let _ = stream;
@@ -38,10 +45,13 @@
         let before = buf.filled().len();
         let ObservedStream { stream, observer } = &mut *self;
         observer.before_read(stream);
+        let has_room = buf.remaining() > 0;
         let poll = Pin::new(&mut self.stream).poll_read(cx, buf);
         let received = &buf.filled()[before..];
         if !received.is_empty() {
             self.observer.received(received);
+        } else if has_room && matches!(poll, Poll::Ready(Ok(()))) {
+            return self.observer.poll_end_of_stream(cx).map(Ok);
         }
         poll
     }
--- a/crates/http/tests/closing.rs
+++ b/crates/http/tests/closing.rs
@@ -24,6 +24,8 @@
     task: JoinHandle<()>,
     /// Ids of the accepted messages, in order.
     accepted: mpsc::UnboundedReceiver<String>,
+    /// Ids of the messages whose client had left before the engine answered.
+    abandoned: mpsc::UnboundedReceiver<String>,
     /// While set, the engine accepts messages and does not answer.
     delays_answers: watch::Sender<bool>,
 }
@@ -38,15 +40,18 @@
     let to = listener.local_addr().expect("listener is bound");
     let task = tokio::spawn(yarrowhill_http::serve(listener, max_connections, intake));
     let (accepted_sender, accepted) = mpsc::unbounded_channel();
+    let (abandoned_sender, abandoned) = mpsc::unbounded_channel();
     let (delays_answers, mut is_delayed) = watch::channel(false);
     tokio::spawn(async move {
         while let Some(Input::Submission(message)) = inputs.recv().await {
             let _ = accepted_sender.send(message.id.clone());
             let _ = is_delayed.wait_for(|is_delayed| !is_delayed).await;
-            let _ = message.answer.send(Answer::Accepted);
+            if message.answer.send(Answer::Accepted).is_err() {
+                let _ = abandoned_sender.send(message.id);
+            }
         }
     });
-    TestServer { to, phase, task, accepted, delays_answers }
+    TestServer { to, phase, task, accepted, abandoned, delays_answers }
 }
 
 fn request(id: &str) -> String {
@@ -316,3 +321,98 @@
     }
     assert_eq!(accepted, served, "accepted and answered messages differ in number");
 }
+
+/// Submits a request whose answer the engine holds back, and waits until the engine has it.
+async fn waiting_client(server: &mut TestServer, id: &str) -> Client {
+    server.delays_answers.send_replace(true);
+    let mut client = Client::connect(server.to);
+    client.write(&request(id));
+    assert_eq!(server.accepted.recv().await.as_deref(), Some(id));
+    client
+}
+
+/// A client that ends its sending after its request, as TCP allows, got no answer, and its message was not
+/// accepted.
+#[tokio::test]
+async fn a_client_that_ends_its_sending_after_its_request_is_answered() {
+    let mut server = start_server(8).await;
+    for is_first in [true, false] {
+        let mut client =
+            if is_first { Client::connect(server.to) } else { idle_client(&mut server, "earlier").await };
+        server.delays_answers.send_replace(true);
+        client.write(&request("last"));
+        client.0.shutdown(Shutdown::Write).expect("client is connected");
+        assert_eq!(server.accepted.recv().await.as_deref(), Some("last"));
+        sleep(Duration::from_millis(50)).await;
+        server.delays_answers.send_replace(false);
+        let (text, error) = client.read_to_end().await;
+        assert!(text.starts_with("HTTP/1.1 202 "), "first: {is_first}, {text:?}");
+        assert_eq!((error, text.matches("HTTP/1.1").count()), (None, 1), "{text:?}");
+    }
+    assert!(server.abandoned.try_recv().is_err());
+}
+
+/// All of several requests that arrived before the end of the sending are answered.
+#[tokio::test]
+async fn pipelined_requests_before_the_end_of_the_sending_are_answered() {
+    let mut server = start_server(8).await;
+    let mut client = Client::connect(server.to);
+    client.write(&(request("first") + &request("second")));
+    client.0.shutdown(Shutdown::Write).expect("client is connected");
+    let (text, error) = client.read_to_end().await;
+    assert_eq!((error, text.matches("HTTP/1.1 202 ").count()), (None, 2), "{text:?}");
+    assert_eq!(server.accepted.recv().await.as_deref(), Some("first"));
+    assert_eq!(server.accepted.recv().await.as_deref(), Some("second"));
+}
+
+#[tokio::test]
+async fn a_client_that_resets_its_connection_is_noticed_before_the_answer() {
+    let mut server = start_server(8).await;
+    let client = waiting_client(&mut server, "m").await;
+    socket2::SockRef::from(&client.0).set_linger(Some(Duration::ZERO)).expect("socket is valid");
+    drop(client);
+    sleep(Duration::from_millis(50)).await;
+    server.delays_answers.send_replace(false);
+    assert_eq!(timeout(STEP_TIMEOUT, server.abandoned.recv()).await.expect("noticed").as_deref(), Some("m"));
+}
+
+/// A client waits for 400 ms and then closes its connection; it may submit the message again elsewhere.
+#[tokio::test]
+async fn a_client_that_gives_up_waiting_is_noticed_before_the_answer() {
+    let mut server = start_server(8).await;
+    let client = waiting_client(&mut server, "m").await;
+    sleep(Duration::from_millis(450)).await;
+    drop(client);
+    sleep(Duration::from_millis(50)).await;
+    server.delays_answers.send_replace(false);
+    assert_eq!(timeout(STEP_TIMEOUT, server.abandoned.recv()).await.expect("noticed").as_deref(), Some("m"));
+}
+
+/// A request whose body is cut off by the end of the sending is not accepted.
+#[tokio::test]
+async fn a_request_that_ends_within_its_body_is_not_accepted() {
+    let mut server = start_server(8).await;
+    let mut client = Client::connect(server.to);
+    client.write(request("cut").strip_suffix('i').expect("the body is \"hi\""));
+    client.0.shutdown(Shutdown::Write).expect("client is connected");
+    let (text, _) = client.read_to_end().await;
+    assert!(!text.contains(" 202 "), "{text:?}");
+    assert!(server.accepted.try_recv().is_err());
+}
+
+/// Clients that end their sending and never read their answer take no place for long.
+#[tokio::test]
+async fn clients_that_end_their_sending_and_never_read_do_not_lock_out_others() {
+    let mut server = start_server(16).await;
+    let mut silent = Vec::new();
+    for n in 0..100 {
+        let mut client = Client::connect(server.to);
+        client.write(&request(&format!("silent{n}")));
+        client.0.shutdown(Shutdown::Write).expect("client is connected");
+        assert!(server.accepted.recv().await.is_some());
+        silent.push(client);
+    }
+    for n in 0..20 {
+        drop(idle_client(&mut server, &format!("m{n}")).await);
+    }
+}
