Log why the platform cannot be reached with notices

Seen by operators: nothing. While the address for notices refused connections, notices were retried every 50 ms and the log stayed empty.

Cause: `send_batch` (http/src/notices.rs) returned before its log entry if no connection could be opened, and dropped the error.

Change: each way to fail is a typed error that the one place which retries logs, at most once a second; the limit is `LogLimit`, which the accept loop now uses too in place of its own copy.

--- a/crates/http/src/clients.rs
+++ b/crates/http/src/clients.rs
@@ -8,6 +8,7 @@
 
 use crate::head_scanner::HeadScanner;
 use crate::intake::Intake;
+use crate::log_limit::LogLimit;
 use crate::observed::{ObservedStream, StreamObserver};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -49,8 +50,6 @@
 const CLOSING_DIVISOR: usize = 8;
 /// Delay before the next attempt to accept a connection when descriptors or memory are exhausted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
-/// Shortest time between two warnings about failures to accept connections.
-const WARN_INTERVAL: Duration = Duration::from_secs(1);
 /// Response to a client for which there is no room.
 const OVERLOADED_RESPONSE: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
@@ -68,7 +67,7 @@
         open: Vec::new(),
         closing: Vec::new(),
         tasks: JoinSet::new(),
-        last_warning: None,
+        accept_warnings: LogLimit::default(),
     };
     tokio::select! {
         () = clients.accept_all(&listener, intake) => {}
@@ -95,8 +94,8 @@
     closing: Vec<AbortHandle>,
     max_closing: usize,
     tasks: JoinSet<()>,
-    /// When the last warning about a failure to accept a connection was logged.
-    last_warning: Option<Instant>,
+    /// Limits the warnings about failures to accept a connection.
+    accept_warnings: LogLimit,
 }
 
 struct Client {
@@ -212,8 +211,7 @@
         if e.kind() == io::ErrorKind::ConnectionAborted {
             return;
         }
-        if self.last_warning.is_none_or(|at| at.elapsed() > WARN_INTERVAL) {
-            self.last_warning = Some(Instant::now());
+        if self.accept_warnings.allows() {
             tracing::warn!("cannot accept client connection: {e}");
         }
         self.evict_idle();
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod discovery;
 mod head_scanner;
 mod intake;
+mod log_limit;
 pub mod notices;
 mod observed;
 mod pool;
--- a/crates/http/src/notices.rs
+++ b/crates/http/src/notices.rs
@@ -1,9 +1,11 @@
 //! Reports accepted messages that ended without delivery to the platform.
 
 use crate::connection::{self, Connection};
+use crate::log_limit::LogLimit;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Request, StatusCode};
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::mpsc::{Receiver, Sender};
@@ -26,7 +28,7 @@
     mut batches: Receiver<Vec<Notice>>,
     engine: Sender<Input>,
 ) {
-    let mut connection = None;
+    let (mut connection, mut warnings) = (None, LogLimit::default());
     while let Some(batch) = batches.recv().await {
         loop {
             if address.has_changed().unwrap_or(false) {
@@ -35,9 +37,14 @@
             let to = *address.borrow_and_update();
             tokio::select! {
                 biased;
-                acknowledged = send_batch(to, &batch, &mut connection) => match acknowledged {
-                    true => break,
-                    false => sleep(RETRY_DELAY).await,
+                sent = send_batch(to, &batch, &mut connection) => match sent {
+                    Ok(()) => break,
+                    Err(failure) => {
+                        if warnings.allows() {
+                            tracing::warn!("{to} did not acknowledge {} notices: {failure}", batch.len());
+                        }
+                        sleep(RETRY_DELAY).await;
+                    }
                 },
                 Ok(()) = address.changed() => {}
             }
@@ -49,28 +56,44 @@
     }
 }
 
-/// Sends a batch once. Returns true if the platform acknowledged it.
-async fn send_batch(to: SocketAddr, batch: &[Notice], idle: &mut Option<Connection>) -> bool {
+/// Why the platform has not acknowledged a batch.
+#[derive(Debug, thiserror::Error)]
+enum NoticeError {
+    #[error("cannot connect: {0}")]
+    Connect(io::Error),
+    #[error("unexpected status {0}")]
+    Status(StatusCode),
+    #[error("no complete response")]
+    Incomplete,
+    #[error("no response within {RESPONSE_TIMEOUT:?}")]
+    Timeout,
+}
+
+/// Sends a batch once. Succeeds if the platform acknowledged it.
+async fn send_batch(
+    to: SocketAddr,
+    batch: &[Notice],
+    idle: &mut Option<Connection>,
+) -> Result<(), NoticeError> {
     let lines: Vec<String> = batch.iter().filter_map(|n| serde_json::to_string(n).ok()).collect();
     let mut request = Request::new(Full::new(Bytes::from(lines.join("\n") + "\n")));
     *request.method_mut() = Method::POST;
     *request.uri_mut() = hyper::Uri::from_static("/v1/notices");
     connection::set_host(&mut request, to);
-    if !idle.as_ref().is_some_and(Connection::is_open) {
-        *idle = Connection::open(to, CONNECT_TIMEOUT).await.ok();
-    }
-    let Some(connection) = idle else { return false };
+    let connection = match idle.take().filter(Connection::is_open) {
+        Some(open) => open,
+        None => Connection::open(to, CONNECT_TIMEOUT).await.map_err(NoticeError::Connect)?,
+    };
+    let connection = idle.insert(connection);
     let exchange = async {
         let response = connection.send(request, None).await.ok()?;
         let status = response.status();
         connection::read_body(response.into_body(), 1 << 16).await.map(|_| status)
     };
-    let failure = match timeout(RESPONSE_TIMEOUT, exchange).await {
-        Ok(Some(StatusCode::NO_CONTENT)) => return true,
-        Ok(Some(status)) => format!("unexpected status {status}"),
-        Ok(None) => "no complete response".to_owned(),
-        Err(_) => format!("no response within {RESPONSE_TIMEOUT:?}"),
-    };
-    tracing::warn!("{to} did not acknowledge {} notices: {failure}", batch.len());
-    false
+    match timeout(RESPONSE_TIMEOUT, exchange).await {
+        Ok(Some(StatusCode::NO_CONTENT)) => Ok(()),
+        Ok(Some(status)) => Err(NoticeError::Status(status)),
+        Ok(None) => Err(NoticeError::Incomplete),
+        Err(_) => Err(NoticeError::Timeout),
+    }
 }
