--- a/crates/rig/src/bin/rig.rs
+++ b/crates/rig/src/bin/rig.rs
@@ -84,6 +84,10 @@
         /// Prints every log line that contains this message id, ordered by time, instead of statistics.
         #[arg(long)]
         message: Option<String>,
+        /// Prints for each restart what became of the messages that it found with half of their time left,
+        /// instead of statistics.
+        #[arg(long, conflicts_with = "message")]
+        restarts: bool,
     },
     /// Plays chaos scenes over several processes that form a fleet.
     Fleet {
@@ -285,7 +289,8 @@
         }
         Command::Bugs { seeds, jobs, only, fit: false } => bugs(seeds, jobs, only).await,
         Command::Load(args) => load(args).await,
-        Command::Count { logs, by, message } => match message {
+        Command::Count { logs, restarts: true, .. } => print_restarts(&logs),
+        Command::Count { logs, by, message, .. } => match message {
             Some(message) => print_message_lines(&logs, &message),
             None => Ok(print_counts(&logs, by)),
         },
@@ -523,6 +528,30 @@
 }
 
 /// Prints statistics over logs; returns whether all logs could be read completely.
+/// Prints a row for each restart, with the counts of all messages and of unsafe ones.
+fn print_restarts(logs: &[PathBuf]) -> io::Result<bool> {
+    let columns = "untried  sent  given-up  in-flight  given-up";
+    println!("{:24} {:>10}  | all: {columns} | unsafe: {columns}", "log", "at (s)");
+    for log in logs {
+        for restart in yarrowhill_rig::restarts(log)? {
+            let row = |f: &yarrowhill_rig::Found| {
+                format!(
+                    "{:>7} {:>5} {:>9} {:>10} {:>9}",
+                    f.untried, f.untried_sent, f.untried_given_up, f.in_flight, f.in_flight_given_up
+                )
+            };
+            let at = restart.at_us.rem_euclid(3_600_000_000) as f64 / 1e6;
+            println!(
+                "{:24} {at:>10.3}  |      {} |         {}",
+                log.display(),
+                row(&restart.all),
+                row(&restart.unsafe_only)
+            );
+        }
+    }
+    Ok(true)
+}
+
 fn print_counts(logs: &[PathBuf], by: By) -> bool {
     let counts = count(logs);
     let mut rows: BTreeMap<String, Cell> = BTreeMap::new();
--- a/crates/rig/src/count.rs
+++ b/crates/rig/src/count.rs
@@ -3,12 +3,12 @@
 //! to break a rule. Logs are read line by line, one after another; of each message only what the rules need
 //! is kept in memory.
 
+use crate::log_line::{Effect, Line, effects};
 use std::collections::{BTreeMap, HashMap};
 use std::fs::File;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io::{self, BufRead, BufReader};
 use std::path::{Path, PathBuf};
-use std::time::UNIX_EPOCH;
 
 /// Maximum length of a log line; longer lines are cut off. The forwarder writes none of this length.
 const MAX_LINE_BYTES: usize = 1 << 20;
@@ -119,14 +119,6 @@
     open: bool,
 }
 
-/// Effect of a repeated call, by the class settings in the log.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Effect {
-    Safe,
-    Keyed(i64),
-    Unsafe,
-}
-
 #[derive(Default)]
 struct Reader {
     counts: Counts,
@@ -313,76 +305,5 @@
     hasher.finish()
 }
 
-/// Parses the effects of the classes, in the order of the settings.
-fn effects(settings: &str) -> Vec<Effect> {
-    let classes = settings.split("effect: ").skip(1);
-    classes
-        .map(|text| match text.split([',', ' ']).next() {
-            Some("Unsafe") => Effect::Unsafe,
-            Some("Keyed") => {
-                let life = text.split("life: ").nth(1).map(|t| t.split([',', ' ']).next().unwrap_or(""));
-                Effect::Keyed(life.and_then(|l| l.parse().ok()).unwrap_or(i64::MAX / 2))
-            }
-            _ => Effect::Safe,
-        })
-        .collect()
-}
-
-/// A parsed line of a debug log.
-#[derive(Debug)]
-struct Line<'a> {
-    at_us: i64,
-    event: &'a str,
-    rest: &'a str,
-}
-
-impl<'a> Line<'a> {
-    /// Parses a line such as `2026-12-01T20:00:00.123456Z DEBUG sent id=a attempt=0 dest=7`. One word before
-    /// the time stamp is skipped, as log collectors add one to each line.
-    fn parse(text: &'a str) -> Option<Self> {
-        let (first, after) = text.split_once(' ')?;
-        let stamped = |stamp: &str| humantime::parse_rfc3339(stamp).ok();
-        let (time, rest) = match stamped(first) {
-            Some(time) => (time, after),
-            None => {
-                let (second, rest) = after.split_once(' ')?;
-                (stamped(second)?, rest)
-            }
-        };
-        let time = time.duration_since(UNIX_EPOCH).ok()?;
-        let rest = rest.trim_start();
-        let (_, rest) = rest.split_once(' ')?;
-        // The event text ends before the first field.
-        let end = rest.find('=').map_or(rest.len(), |at| rest[..at].rfind(' ').unwrap_or(0));
-        Some(Line { at_us: time.as_micros() as i64, event: rest[..end].trim(), rest: &rest[end..] })
-    }
-
-    /// Returns the value of a field up to the next space, without quotes.
-    fn field(&self, name: &str) -> Option<&'a str> {
-        let mut from = 0;
-        while let Some(at) = self.rest[from..].find(name) {
-            let start = from + at;
-            let before = self.rest[..start].ends_with(' ');
-            let after = &self.rest[start + name.len()..];
-            if before && after.starts_with('=') {
-                return after[1..].split(' ').next().map(|v| v.trim_matches('"'));
-            }
-            from = start + name.len();
-        }
-        None
-    }
-
-    fn number(&self, name: &str) -> Option<u64> {
-        self.field(name)?.parse().ok()
-    }
-
-    /// Returns the wait that the answer returned, in microseconds: from the outcome or from the field `wait`.
-    fn wait_us(&self) -> Option<i64> {
-        let field = self.field("wait").map(|w| w.trim_start_matches("Some(").trim_end_matches(')'));
-        let in_outcome = self.rest.split("Full { wait: Some(").nth(1).and_then(|t| t.split(')').next());
-        in_outcome.or(field)?.parse().ok()
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -4,7 +4,7 @@
 //! - `script`, `play`, `sweep`: drawing a script from a seed, playing one script, and playing many in
 //!   parallel
 //! - `load`: load generation over persistent connections
-//! - `count`: statistics over the debug logs of several forwarders
+//! - `count`, `restarts`, with `log_line`: statistics over the debug logs of several forwarders
 //! - `fleet`: chaos scenes over several processes that form a fleet
 //! - `bugs`, `scratch`: planted bugs as patches (mutation testing), and builds of the program with one
 //!   applied
@@ -18,7 +18,9 @@
 mod count;
 mod fleet;
 mod load;
+mod log_line;
 mod play;
+mod restarts;
 mod scratch;
 mod script;
 mod sweep;
@@ -31,6 +33,7 @@
 };
 pub use load::{Load, LoadOutcome, play_load};
 pub use play::{RunOutcome, play_script};
+pub use restarts::{Found, Restart, restarts};
 pub use scratch::{ScratchBuild, ScratchBuildError, patched_files};
 pub use script::{Act, Dest, Script};
 pub use sweep::{Sweep, sweep};
