--- a/crates/checker/src/duties.rs
+++ b/crates/checker/src/duties.rs
@@ -1,31 +1,9 @@
 //! Judges the duties that processes claim to hold: never two holders at a time, and tokens that only
 //! increase. Shares no code with the package that assigns duties.
 
-use crate::fleet::{FleetBreach, FleetEntry, FleetEvent};
-use serde::{Deserialize, Serialize};
+use crate::fleet_ledger::{DutyClaim, FleetBreach, FleetEntry, FleetEvent};
 use std::collections::BTreeMap;
 
-/// A process's statement that it holds a duty.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct DutyClaim {
-    /// Number of the process.
-    #[serde(rename = "who")]
-    pub process: usize,
-    /// Boot number of the process, added by the rig: a new start counts as another process.
-    #[serde(rename = "life")]
-    pub boot: usize,
-    /// Name of the duty.
-    pub duty: String,
-    /// Fencing token under which the duty is held.
-    pub token: u64,
-    /// When the process read its state, and until when it holds the duty without a further renewal
-    /// (microseconds of a clock that all processes of the machine share).
-    #[serde(rename = "span")]
-    pub valid_us: [u64; 2],
-    /// Steps of progress so far.
-    pub step: u64,
-}
-
 /// The time over which one process claimed a duty under one token.
 struct Tenure {
     process: usize,
--- a/crates/checker/src/lib.rs
+++ b/crates/checker/src/lib.rs
@@ -17,16 +17,18 @@
 mod accounts;
 mod duties;
 mod fleet;
+mod fleet_ledger;
 mod judge;
 mod ledger;
 mod outages;
+mod rule;
 mod rules;
 
 pub use accounts::{Account, accounts};
-pub use duties::{DutyClaim, vacancies};
-pub use fleet::{
-    Claim, FleetBreach, FleetEntry, FleetEvent, FleetParams, LimitUse, judge_fleet, judge_limit,
-};
-pub use judge::{Breach, Effect, Rule, RuleParams, judge};
+pub use duties::vacancies;
+pub use fleet::{LimitUse, judge_fleet, judge_limit};
+pub use fleet_ledger::{Claim, ColdStart, DutyClaim, FleetBreach, FleetEntry, FleetEvent, FleetParams};
+pub use judge::judge;
 pub use ledger::{CallEnd, ClientOutcome, Entry, Event, ForwarderState, Standing};
-pub use outages::{ColdStart, OutageReport, judge_outages};
+pub use outages::{OutageReport, judge_outages};
+pub use rule::{Breach, Effect, Rule, RuleParams};
--- a/crates/checker/src/outages.rs
+++ b/crates/checker/src/outages.rs
@@ -1,28 +1,8 @@
 //! Judges the calls that reach a destination during an outage that affects all processes, and during its
 //! warm-up after it.
 
-use crate::fleet::{FleetBreach, FleetEntry, FleetEvent, FleetParams, judge_limit};
-use serde::{Deserialize, Serialize};
-
-/// Parameters for judging a destination that was down.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-pub struct ColdStart {
-    /// Time after which all processes know of an outage.
-    #[serde(rename = "found")]
-    pub detect_ms: f64,
-    /// Share of its capacity that the destination has right after the outage.
-    #[serde(rename = "start")]
-    pub start_capacity: f64,
-    /// Time after the outage at which the destination has its full capacity.
-    #[serde(rename = "warm")]
-    pub warm_up_ms: f64,
-    /// Interval at which one process may probe the destination during the outage.
-    #[serde(rename = "tries")]
-    pub probe_interval_ms: f64,
-    /// Allowance for the lateness of the rig's clocks.
-    #[serde(rename = "late")]
-    pub clock_slack_ms: f64,
-}
+use crate::fleet::judge_limit;
+use crate::fleet_ledger::{ColdStart, FleetBreach, FleetEntry, FleetEvent, FleetParams};
 
 impl ColdStart {
     /// Returns the integral of the destination's capacity share over the first `elapsed` ms after the outage
--- a/crates/checker/src/rules.rs
+++ b/crates/checker/src/rules.rs
@@ -1,7 +1,7 @@
 //! The six rules, each checked on its own against the ledger.
 
-use crate::judge::{Breach, Effect, Rule, RuleParams};
 use crate::ledger::{CallEnd, ClientOutcome, Entry, Event, ForwarderState, Standing};
+use crate::rule::{Breach, Effect, Rule, RuleParams};
 use std::collections::BTreeMap;
 
 /// A notice on a message.
--- a/crates/kernel/src/fleet.rs
+++ b/crates/kernel/src/fleet.rs
@@ -1,14 +1,12 @@
 //! A simulated fleet: members with clocks of their own, which stall, die and start again.
 
 use crate::links::Links;
+use crate::time::Micros;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
 
-/// An instant or a duration in microseconds, on the simulation's clock or on a member's.
-pub type Micros = u64;
-
 /// Maximum number of packets that are buffered for a stopped member. Further ones are lost, as with a socket
 /// buffer.
 const SOCKET_BUFFER: usize = 256;
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -8,7 +8,9 @@
 mod fleet;
 mod links;
 mod search;
+mod time;
 
-pub use fleet::{Clock, Fleet, Member, Micros, ProcessFault};
+pub use fleet::{Clock, Fleet, Member, ProcessFault};
 pub use links::{Link, Links};
 pub use search::{SearchResult, World, search};
+pub use time::Micros;
--- a/crates/kernel/src/links.rs
+++ b/crates/kernel/src/links.rs
@@ -1,6 +1,6 @@
 //! Simulated network links: loss, duplication, delay and partitions.
 
-use crate::fleet::Micros;
+use crate::time::Micros;
 use rand::{Rng, RngExt};
 use std::collections::HashMap;
 
