Break the import cycle of the pool and the calls

Need: `pool` starts calls, and `calls` took the gate and the way back to the pool from it.

Change: `gate_handle` has the gate, `idle` the idle connections and `CheckIn`; `pool` keeps the transport. Items are moved, none changed but in visibility.

--- a/crates/http/src/calls.rs
+++ b/crates/http/src/calls.rs
@@ -1,7 +1,8 @@
 //! Calls to endpoints. A connection carries one call at a time; each message in a call gets its own outcome.
 
 use crate::connection::{self, CancelHandle, Connection, SendError};
-use crate::pool::{CheckIn, GateHandle};
+use crate::gate_handle::GateHandle;
+use crate::idle::CheckIn;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
--- a/crates/http/src/intake.rs
+++ b/crates/http/src/intake.rs
@@ -1,6 +1,6 @@
 //! Accepts messages from clients: parses requests, submits them to the engine, and returns its answers.
 
-use crate::pool::GateHandle;
+use crate::gate_handle::GateHandle;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
