--- a/crates/journal/src/frame.rs
+++ b/crates/journal/src/frame.rs
@@ -8,7 +8,8 @@
 //!
 //! The mark is a random synchronization marker, drawn for each file. A reader that has lost its position
 //! looks for the next intact frame with that mark. Bodies come from outside; since no sender can know the
-//! mark, none of them can hold a frame that would be read as a record. The frame head has a checksum of its
+//! mark, none of them can hold a frame that would be read as a record. The lock file has a copy of the file
+//! head, for the case that the head itself is damaged. The frame head has a checksum of its
 //! own. With it, a frame whose payload is damaged can be skipped by its length, and a frame cut off by the
 //! end of the file (torn: its turn had no effect outside the process) can be distinguished from one whose
 //! length is damaged.
@@ -54,6 +55,12 @@
     head
 }
 
+/// Returns the mark of a file head, or `None` if the head is damaged.
+pub(crate) fn decode_file_head(head: &[u8]) -> Option<Mark> {
+    let mark = Mark(head.get(8..12)?.try_into().ok()?);
+    (head == encode_file_head(mark)).then_some(mark)
+}
+
 /// Appends the frame of a record to `out`.
 pub(crate) fn encode(mark: Mark, record: &Record, out: &mut Vec<u8>) {
     let start = out.len();
@@ -192,11 +199,9 @@
 
 /// Starts reading a file. Returns the mark of its frames (`None` for the first format version, and if it
 /// can't be determined) and an iterator over its entries, which keeps only one record of a long file in
-/// memory.
-pub(crate) fn read<S: Source>(mut source: S) -> io::Result<(Option<Mark>, Entries<S>)> {
-    let head = source.bytes(0, FILE_HEAD_BYTES)?;
-    let stored = head.get(8..12).and_then(|m| m.try_into().ok()).map(Mark);
-    if let Some(mark) = stored.filter(|mark| head == encode_file_head(*mark)) {
+/// memory. `copied` is the mark in the copy of the file head, which is used if the head is damaged.
+pub(crate) fn read<S: Source>(mut source: S, copied: Option<Mark>) -> io::Result<(Option<Mark>, Entries<S>)> {
+    if let Some(mark) = decode_file_head(source.bytes(0, FILE_HEAD_BYTES)?) {
         return Ok((Some(mark), Entries::new(Format::Marked(mark), source, FILE_HEAD_BYTES)));
     }
     let mut v1 = Entries::new(Format::V1, source, 0);
@@ -204,7 +209,7 @@
         return Ok((None, Entries::new(Format::V1, v1.source, 0)));
     }
     let mut source = v1.source;
-    match guess_mark(&mut source)? {
+    match find_lost_mark(&mut source, copied)? {
         Some(mark) => Ok((Some(mark), Entries::new(Format::Marked(mark), source, 0))),
         // A new file whose head is torn. Read as the first version, it is a torn tail.
         None if source.len() < FILE_HEAD_BYTES => Ok((None, Entries::new(Format::V1, source, 0))),
@@ -323,11 +328,22 @@
     Ok(source.len())
 }
 
-/// Determines the mark of a file whose head is lost: the one whose frames cover the largest part of the file.
-/// A body that contains frames of its own is always shorter than the frame around it. Returns `None` if no
-/// mark covers half of the file, since that would not be conclusive.
-fn guess_mark(source: &mut impl Source) -> io::Result<Option<Mark>> {
-    let mut covered: HashMap<[u8; 4], usize> = HashMap::new();
+/// Determines the mark of a file whose head is lost: the copied one if any intact frame has it, since a copy
+/// may belong to another file; else the one whose frames cover the largest part of the file. A body that
+/// contains frames of its own is always shorter than the frame around it. Returns `None` if no mark covers
+/// half of the file, since that would not be conclusive.
+fn find_lost_mark(source: &mut impl Source, copied: Option<Mark>) -> io::Result<Option<Mark>> {
+    let covered = bytes_by_mark(source)?;
+    if let Some(mark) = copied.filter(|mark| covered.contains_key(&mark.0)) {
+        return Ok(Some(mark));
+    }
+    let best = covered.into_iter().max_by_key(|(mark, size)| (*size, *mark));
+    Ok(best.filter(|(_, size)| size * 2 >= source.len()).map(|(mark, _)| Mark(mark)))
+}
+
+/// Returns the total size of the intact frames of each mark.
+fn bytes_by_mark(source: &mut impl Source) -> io::Result<HashMap<[u8; 4], usize>> {
+    let mut covered = HashMap::new();
     let mut at = 0;
     while at + FRAME_HEAD_BYTES <= source.len() {
         let Ok(mark) = <[u8; 4]>::try_from(source.bytes(at, 4)?) else { break };
@@ -339,8 +355,7 @@
             _ => at += 1,
         }
     }
-    let best = covered.into_iter().max_by_key(|(mark, size)| (*size, *mark));
-    Ok(best.filter(|(_, size)| size * 2 >= source.len()).map(|(mark, _)| Mark(mark)))
+    Ok(covered)
 }
 
 #[cfg(test)]
--- a/crates/journal/src/frame/tests.rs
+++ b/crates/journal/src/frame/tests.rs
@@ -45,7 +45,7 @@
 }
 
 pub(crate) fn read_all(source: impl Source) -> (Option<Mark>, Vec<Entry>) {
-    let (mark, mut entries) = read(source).expect("the source can be read");
+    let (mark, mut entries) = read(source, None).expect("the source can be read");
     let entries = std::iter::from_fn(move || entries.next_entry().expect("the source can be read"));
     (mark, entries.collect())
 }
@@ -141,7 +141,7 @@
         let window = || Window::new(file.try_clone().expect("a descriptor"), bytes.len() as u64, chunk);
         prop_assert_eq!(read_all(window()), read_all(&bytes[..]));
         let longest = ends.windows(2).map(|w| w[1] - w[0]).max().unwrap_or(0);
-        let (_, mut entries) = read(window()).expect("the file can be read");
+        let (_, mut entries) = read(window(), None).expect("the file can be read");
         while entries.next_entry().expect("the file can be read").is_some() {
             let damage = 2 * bytes.len() * usize::from(read_all(&bytes[..]).1.iter().any(|p| !matches!(p, Entry::Record { .. })));
             let max = chunk.max(longest).max(FILE_HEAD_BYTES) + damage;
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -40,6 +40,7 @@
 
 mod ends;
 mod frame;
+mod mark_copy;
 mod record;
 mod replay;
 mod segments;
@@ -59,7 +60,7 @@
 pub fn scan_bytes(bytes: &[u8]) -> (usize, usize) {
     let (mut replay, mut unreadable) = (replay::Replay::default(), 0);
     // Reading from memory does not fail.
-    let Ok((_, mut entries)) = frame::read(bytes) else { return (0, 0) };
+    let Ok((_, mut entries)) = frame::read(bytes, None) else { return (0, 0) };
     while let Ok(Some(entry)) = entries.next_entry() {
         if let frame::Entry::Damaged { size, .. } | frame::Entry::Torn { size, .. } = entry {
             unreadable += size;
--- a/crates/journal/src/store.rs
+++ b/crates/journal/src/store.rs
@@ -2,6 +2,7 @@
 
 use crate::ends::{self, Ends, IdHash};
 use crate::frame::{self, Entry, FILE_HEAD_BYTES, Mark, Window};
+use crate::mark_copy;
 use crate::record::{self, End, NoticeEnd, Record};
 use crate::replay::{OpenMessage, Replay};
 use bytes::Bytes;
@@ -118,12 +119,13 @@
 #[derive(Debug)]
 pub struct Journal {
     path: PathBuf,
-    /// Lock file, locked as long as the journal is open.
-    _lock: File,
+    /// Lock file, locked as long as the journal is open. It has a copy of the file head.
+    lock: File,
     file: File,
     mark: Mark,
     len: u64,
-    /// Maximum total size of the files in bytes, less the size of the file of damaged bytes.
+    /// Maximum total size of the files in bytes, less the sizes of the lock file and the file of damaged
+    /// bytes.
     limit: u64,
     durability: Durability,
     /// The open messages.
@@ -159,8 +161,8 @@
     /// opened, read or written.
     pub fn open(folder: &Path, options: Options, now: u64) -> Result<(Self, Recovered), JournalError> {
         let path = folder.join("journal");
-        let lock =
-            OpenOptions::new().write(true).create(true).truncate(false).open(folder.join("journal.lock"))?;
+        let lock_path = folder.join("journal.lock");
+        let lock = OpenOptions::new().read(true).write(true).create(true).truncate(false).open(&lock_path)?;
         match lock.try_lock() {
             Ok(()) => {}
             Err(TryLockError::WouldBlock) => return Err(JournalError::Locked(folder.into())),
@@ -173,14 +175,16 @@
         }
         let file = OpenOptions::new().read(true).append(true).create(true).open(&path)?;
         let len = file.metadata()?.len();
-        let (mark, mut entries) = frame::read(Window::new(file.try_clone()?, len, READ_CHUNK_BYTES))?;
+        let copied_mark = mark_copy::load(&lock);
+        let window = Window::new(file.try_clone()?, len, READ_CHUNK_BYTES);
+        let (mark, mut entries) = frame::read(window, copied_mark)?;
         let mut journal = Journal {
             path,
-            _lock: lock,
+            lock,
             file,
             mark: mark.unwrap_or_else(new_mark),
             len,
-            limit: options.max_bytes,
+            limit: options.max_bytes.saturating_sub(FILE_HEAD_BYTES as u64),
             durability: options.durability,
             live: HashMap::new(),
             live_bytes: 0,
@@ -193,6 +197,13 @@
             compact_after: 0,
             tail_unknown: false,
         };
+        // Before any frame with this mark is written.
+        if copied_mark != Some(journal.mark)
+            && let Err(e) =
+                mark_copy::store(&journal.lock, journal.mark, options.durability == Durability::Disk)
+        {
+            tracing::warn!("journal: cannot copy the file head to {}: {e}", lock_path.display());
+        }
         let mut recovered = Recovered::default();
         let mut replay = Replay::default();
         let damaged_path = journal.path.with_extension("damaged");
@@ -570,7 +581,8 @@
     /// Copies the live records of a file that is damaged or has the first format version, by reading all of
     /// its entries.
     fn copy_entries(&self, out: &mut CopyWriter) -> Result<(), JournalError> {
-        let (_, mut entries) = frame::read(Window::new(self.file.try_clone()?, self.len, READ_CHUNK_BYTES))?;
+        let (_, mut entries) =
+            frame::read(Window::new(self.file.try_clone()?, self.len, READ_CHUNK_BYTES), Some(self.mark))?;
         // Whether a live message has been copied so far. A gap that is already on record concerns no message
         // if not.
         let mut has_open = false;
--- a/crates/journal/src/store/tests.rs
+++ b/crates/journal/src/store/tests.rs
@@ -312,3 +312,41 @@
     let (_, recovered) = open(&folder, LIMIT);
     assert!(recovered.orphans.is_empty() && recovered.open.len() == 1);
 }
+
+/// Guards against the loss of every record where the file head and a record of more than half of the file
+/// are damaged together.
+#[test]
+fn reads_the_records_behind_a_damaged_head_and_a_large_damaged_record() {
+    let folder = Folder::new();
+    let (mut journal, _) = open(&folder, LIMIT);
+    let records = [
+        accepted("large", vec![7; 4000]),
+        accepted("small", vec![]),
+        Record::Sent("large".into(), 0, NOW, "hall-a".into()),
+    ];
+    journal.commit(&records, NOW).expect("there is space");
+    drop(journal);
+    let mut bytes = fs::read(folder.file()).expect("the file exists");
+    bytes[..FILE_HEAD_BYTES + 1].fill(0);
+    fs::write(folder.file(), bytes).expect("the file is writable");
+    let (_, recovered) = open(&folder, LIMIT);
+    assert_eq!(recovered.open.iter().map(|o| o.accepted.id.as_str()).collect::<Vec<_>>(), ["small"]);
+    assert_eq!(recovered.orphans, [("large".to_owned(), NoticeEnd::GivenUp)]);
+}
+
+/// A lock file without a copy of the head, or with that of another journal, is no worse than none.
+#[test]
+fn a_missing_or_foreign_copy_of_the_head_does_not_hide_records() {
+    for copy in [Vec::new(), frame::encode_file_head(Mark(*b"\x80foe")).to_vec()] {
+        let folder = Folder::new();
+        let (mut journal, _) = open(&folder, LIMIT);
+        journal.commit(&[accepted("a", vec![]), accepted("b", vec![])], NOW).expect("there is space");
+        drop(journal);
+        let mut bytes = fs::read(folder.file()).expect("the file exists");
+        bytes[..FILE_HEAD_BYTES].fill(0);
+        fs::write(folder.file(), bytes).expect("the file is writable");
+        fs::write(folder.0.join("journal.lock"), copy).expect("the file is writable");
+        let (_, recovered) = open(&folder, LIMIT);
+        assert_eq!(recovered.open.len(), 2);
+    }
+}
