Release connections to destinations whose connection table is full

Cause, from debug logs: these destinations take some ten connections. The first 9 to 16 of 312 forwarders kept theirs for good; all others got a 503 on every new connection, took it for the limit on calls, and called more rarely. Idle connections were released only after one had been refused without an answer, and whoever holds one is not refused. Ruled out: the limit on calls (kept connections are not refused there), latency, own slots. Of 16,561 answers with 503, 15,058 had Connection: close, each on a new connection.

Change: a 503 without a wait that closes a new connection is an outcome of its own. It lowers no rate and counts towards no outage; for ten warm-up times idle connections are closed after each call, everywhere, unless they are kept busy. In fleets of 16 and more a rarely used connection is closed when it is older than the warm-up time, since a holder can't notice that others are refused.

The model (16 connections, up to 300 senders, a minute) fails without the change.

--- a/crates/http/src/calls.rs
+++ b/crates/http/src/calls.rs
@@ -61,6 +61,7 @@
         is_late: false,
         is_deferred: false,
         is_batch: false,
+        is_new_connection: false,
         cancel_after: now,
         delayed_cancels: Vec::new(),
     };
@@ -125,6 +126,7 @@
         #[cfg(feature = "gate")]
         (began = Instant::now());
         pending.is_batch = pending.waiting.len() > 1;
+        pending.is_new_connection = !is_reused;
         pending.cancel_after = Instant::now() + MIN_CANCEL_AGE;
         let begin_by = pending.waiting.iter().map(|i| Stage::Connecting.deadline(i)).min();
         let cancel = open.cancel_handle();
@@ -158,7 +160,7 @@
     if let Some(result) = result {
         let is_reusable = result.as_ref().is_ok_and(|r| r.is_complete && !r.is_malformed);
         check_in.put_back(connection.filter(|_| is_reusable));
-        pending.ended.extend(outcomes(&pending.waiting, &result));
+        pending.ended.extend(outcomes(&pending.waiting, &result, pending.is_new_connection));
     }
     pending.report().await;
 }
@@ -208,6 +210,8 @@
     is_deferred: bool,
     /// Whether the last request was for several messages.
     is_batch: bool,
+    /// Whether the last request was the first one on its connection.
+    is_new_connection: bool,
     /// Earliest time at which an attempt of a written call is cancelled.
     cancel_after: Instant,
     /// Attempts to cancel at `cancel_after`.
@@ -448,6 +452,8 @@
     wait: Option<Micros>,
     /// Whether the endpoint refused the call because all its slots are taken.
     no_slot: bool,
+    /// Whether the endpoint closes the connection after this response.
+    closes: bool,
     report: Option<LimitReport>,
     /// Results of the messages of a batch.
     states: Option<Vec<ItemState>>,
@@ -464,12 +470,20 @@
             status,
             wait: None,
             no_slot: false,
+            closes: false,
             report: None,
             states: None,
             is_complete: false,
             is_malformed: false,
         }
     }
+
+    /// Returns whether the endpoint has too many connections, if this is the response to the first request of
+    /// one: it refuses the call without a wait and closes the connection.
+    fn refuses_connection(&self) -> bool {
+        let is_refused = self.status == StatusCode::SERVICE_UNAVAILABLE && !self.no_slot;
+        is_refused && self.closes && self.wait.is_none() && !self.is_malformed
+    }
 }
 
 /// Why a call has no readable response, and so whether it may have run.
@@ -512,6 +526,7 @@
     let mut result = CallResponse {
         wait: header_text(headers, "wait-ms").and_then(parse_wait),
         no_slot: header_text(headers, "slots-taken") == Some("1"),
+        closes: header_text(headers, "connection").is_some_and(|v| v.eq_ignore_ascii_case("close")),
         report: header_text(headers, "srv-load").and_then(parse_report),
         ..CallResponse::status_only(response.status())
     };
@@ -553,8 +568,17 @@
 }
 
 /// Returns the end of each attempt that still waits, by the result of the call.
-fn outcomes(waiting: &[Item], result: &Result<CallResponse, CallError>) -> Vec<AttemptEnd> {
+fn outcomes(
+    waiting: &[Item],
+    result: &Result<CallResponse, CallError>,
+    is_new_connection: bool,
+) -> Vec<AttemptEnd> {
     let response = match result {
+        Ok(response) if is_new_connection && response.refuses_connection() => {
+            let refused =
+                |i: &Item| AttemptEnd { report: response.report, ..end(i, Outcome::TooManyConnections) };
+            return waiting.iter().map(refused).collect();
+        }
         Ok(response) => response,
         Err(CallError::NotWritten | CallError::NeverRan) => {
             return waiting.iter().map(|i| end(i, Outcome::ConnectFailed)).collect();
--- a/crates/http/tests/calls.rs
+++ b/crates/http/tests/calls.rs
@@ -222,6 +222,49 @@
     assert_eq!((outcomes, calls), (vec![Outcome::Delivered, Outcome::Error], vec![0, 1]));
 }
 
+/// Makes two calls to an endpoint that answers the first one with 200 on a connection that stays open, if
+/// `keeps_first` is set, and the last one with a refusal with these headers. Returns the outcome of the last.
+async fn refused_call(keeps_first: bool, headers: &'static str) -> Outcome {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("port is free");
+    let to = listener.local_addr().expect("listener is bound");
+    let served = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("call connects");
+        let accepted = keeps_first.then_some("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".to_owned());
+        let refused = format!("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n{headers}\r\n");
+        for response in accepted.into_iter().chain([refused]) {
+            let mut text = Vec::new();
+            while !text.ends_with(b"body") {
+                assert!(stream.read_buf(&mut text).await.expect("call is written") > 0);
+            }
+            stream.write_all(response.as_bytes()).await.expect("response is read");
+        }
+    });
+    let mut pool = Pool::new(4, Duration::from_secs(5));
+    pool.set_endpoint_address(1, Some(to));
+    let (inputs, mut updates) = mpsc::channel(8);
+    let mut last = None;
+    for id in 0..=u64::from(keeps_first) {
+        let (_sender, commands) = mpsc::channel(2);
+        let deadline = Instant::now() + STEP * 20;
+        pool.start_call(call(to, vec![item(id, deadline, deadline)], commands), inputs.clone());
+        last = next_update(&mut updates).await.ended.first().map(|end| end.outcome);
+    }
+    served.await.expect("the endpoint has served both calls");
+    last.expect("the call has ended")
+}
+
+/// A destination with too many connections closes a new one with a refusal. Other refusals say that it has
+/// too many calls.
+#[tokio::test]
+async fn a_new_connection_closed_with_a_refusal_shows_too_many_connections() {
+    assert_eq!(refused_call(false, "Connection: close\r\n").await, Outcome::TooManyConnections);
+    assert_eq!(refused_call(false, "").await, Outcome::Full { wait: None });
+    assert_eq!(refused_call(true, "Connection: close\r\n").await, Outcome::Full { wait: None });
+    let wait = Some(250_000);
+    assert_eq!(refused_call(false, "Connection: close\r\nWait-Ms: 250\r\n").await, Outcome::Full { wait });
+    assert_eq!(refused_call(false, "Connection: close\r\nSlots-Taken: 1\r\n").await, Outcome::NotSent);
+}
+
 /// Starts a call with one message to this address. Returns the channels for its commands and its updates.
 fn call_to(to: SocketAddr, deadline: Instant) -> (mpsc::Sender<CallCommand>, mpsc::Receiver<Input>) {
     let (inputs, updates) = mpsc::channel(8);
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -151,6 +151,9 @@
     TimedOut,
     /// No connection was established; the message never ran.
     ConnectFailed,
+    /// The destination closed a new connection without processing the message, because it has too many
+    /// connections.
+    TooManyConnections,
     /// The connection broke; the message may have taken effect.
     Reset,
     /// The response could not be parsed; the message may have taken effect. This says nothing about the
@@ -166,7 +169,10 @@
 impl Outcome {
     /// Returns true if the attempt is known never to have run.
     pub fn never_ran(self) -> bool {
-        matches!(self, Outcome::Full { .. } | Outcome::ConnectFailed | Outcome::NotSent)
+        matches!(
+            self,
+            Outcome::Full { .. } | Outcome::ConnectFailed | Outcome::TooManyConnections | Outcome::NotSent
+        )
     }
 }
 
--- a/crates/policy/src/balancer/admission.rs
+++ b/crates/policy/src/balancer/admission.rs
@@ -18,6 +18,9 @@
 /// Number of senders from which an idle connection is kept only if the sender keeps at least one connection
 /// busy. With fewer senders, keeping a proportional part of one busy is enough.
 const IDLE_CONNECTION_SENDERS: f64 = 16.0;
+/// Age at which a connection that is not kept busy is closed, as a multiple of the warm-up time. Opening the
+/// next one shows whether the destination has room for it.
+const MAX_AGE_WARM_UPS: Micros = 1;
 
 /// The best send to a destination in this turn.
 struct Offer {
@@ -96,9 +99,10 @@
         Offer { is_degraded: self.is_dest_degraded(dest, now), send: self.best_send(dest, now) }
     }
 
-    /// Closes idle connections that are not kept busy, while connections are scarce. Idle connections count
-    /// against a destination's connection limit, and many infrequent senders use it up. This protects all
-    /// senders of a destination; the cost is one more handshake per call where calls come in bursts.
+    /// Closes idle connections that are not kept busy, if connections are scarce, or in a large fleet if the
+    /// connection is old. Idle connections count against a destination's connection limit, and many infrequent
+    /// senders use it up. This protects all senders of a destination; the cost is one more handshake per call
+    /// where calls come in bursts.
     pub(super) fn close_idle(&mut self, now: Micros, actions: &mut Vec<Action>) {
         let params = self.params.clone();
         let min_busy = (params.settings.senders as f64 / IDLE_CONNECTION_SENDERS).min(1.0);
@@ -107,8 +111,11 @@
             let dest = &self.dests[&endpoint.dest];
             let scope = if dest.kind.independent_endpoints { &endpoint.scope } else { &dest.scope };
             let busy = scope.own_rate(now, &params) * scope.usual_latency / SECOND_US;
-            if now < self.connections_scarce_until && busy < min_busy && !endpoint.idle_connections.is_empty()
-            {
+            // A sender that holds a connection is never refused one, and does not notice that others are.
+            let is_old = min_busy >= 1.0
+                && now - endpoint.connected_since >= MAX_AGE_WARM_UPS * params.warm_up as Micros;
+            let may_close = is_old || now < self.connections_scarce_until;
+            if may_close && busy < min_busy && !endpoint.idle_connections.is_empty() {
                 self.endpoints.get_mut(&id).expect("looked up above").idle_connections.clear();
                 actions.push(Action::CloseIdle { endpoint: id });
             }
--- a/crates/policy/src/balancer/outcomes.rs
+++ b/crates/policy/src/balancer/outcomes.rs
@@ -14,6 +14,14 @@
 const AVOIDANCE_DIVISOR: i64 = 4;
 /// Maximum number of times that the avoidance doubles, up to all of `warmAfter`.
 const MAX_AVOIDANCE_DOUBLINGS: u32 = 2;
+/// Pause before a new connection after a refused one, as a fraction (one N-th) of the target latency. It
+/// doubles with each consecutive wave of refused connections.
+const CONNECT_PAUSE_DIVISOR: f64 = 16.0;
+/// Maximum number of times that this pause doubles.
+const MAX_CONNECT_PAUSE_DOUBLINGS: u32 = 6;
+/// Multiple of the warm-up time for which connections count as scarce after a destination refused one because
+/// it had too many. Each sender that does not know it holds up others, so this is not forgotten soon.
+const FULL_TABLE_WARM_UPS: Micros = 10;
 
 impl Endpoint {
     /// Prefers the other endpoints of the destination for a time that grows with each consecutive failure.
@@ -23,6 +31,26 @@
                 << self.consecutive_failures.min(MAX_AVOIDANCE_DOUBLINGS));
         self.consecutive_failures += 1;
     }
+
+    /// Opens no new connection for a time that doubles with each wave of refused connections, at most until
+    /// `until`. Connections of one wave, that is, opened before the pause began, count once.
+    fn pause_connecting(
+        &mut self,
+        now: Micros,
+        opened_at: Micros,
+        until: Micros,
+        params: &Params,
+        seed: &mut u64,
+    ) {
+        if self.connect_refusals > 0 && opened_at < self.no_connect_until {
+            return;
+        }
+        self.connect_refusals = (self.connect_refusals + 1).min(MAX_CONNECT_PAUSE_DOUBLINGS);
+        let pause = params.target_latency / CONNECT_PAUSE_DIVISOR
+            * f64::from(1 << self.connect_refusals)
+            * (0.5 + random_unit(seed));
+        self.no_connect_until = (now + pause as Micros).min(until);
+    }
 }
 
 impl Balancer {
@@ -96,6 +124,9 @@
         let (params, latency) = (self.params.clone(), end.elapsed as f64);
         let others_serve =
             end.outcome.never_ran() && self.other_endpoints_serve(attempt.dest, attempt.endpoint);
+        let connect_refused =
+            end.outcome == Outcome::ConnectFailed && end.elapsed < params.settings.connect_timeout / 2;
+        self.update_scarcity(now, connect_refused, end.outcome);
         let endpoint = self.endpoints.get_mut(&attempt.endpoint).expect("only known endpoints are sent to");
         endpoint.calls_in_flight = endpoint.calls_in_flight.saturating_sub(1);
         if matches!(end.outcome, Outcome::Delivered | Outcome::Error | Outcome::Full { .. }) {
@@ -103,10 +134,6 @@
             endpoint.idle_connections.retain(|at| now - at < params.settings.idle_timeout);
             self.used_endpoints.insert(attempt.endpoint);
         }
-        let connect_refused =
-            end.outcome == Outcome::ConnectFailed && end.elapsed < params.settings.connect_timeout / 2;
-        self.connections_scarce_until =
-            if connect_refused { now + params.warm_up as Micros } else { self.connections_scarce_until };
         match end.outcome {
             Outcome::Delivered => {
                 endpoint.recent_latency = if endpoint.recent_latency > 0.0 {
@@ -127,6 +154,11 @@
                 }
             }
             Outcome::Full { .. } | Outcome::NotSent | Outcome::Malformed => {}
+            // The destination is up, and says nothing about the limit of its calls.
+            Outcome::TooManyConnections => {
+                let until = now + params.target_latency as Micros;
+                return endpoint.pause_connecting(now, now - end.elapsed, until, &params, &mut self.seed);
+            }
             // A connection that is refused at once by an endpoint that has just delivered, or while other
             // endpoints may serve, shows a full connection table and no outage. It counts once per wave.
             _ if connect_refused
@@ -135,21 +167,12 @@
                         .last_delivery
                         .is_some_and(|at| now - at < params.target_latency as Micros / 2)) =>
             {
-                if endpoint.connect_refusals == 0 || now - end.elapsed >= endpoint.no_connect_until {
-                    endpoint.connect_refusals = (endpoint.connect_refusals + 1).min(6);
-                    let wait = params.target_latency / 16.0
-                        * f64::from(1 << endpoint.connect_refusals)
-                        * (0.5 + random_unit(&mut self.seed));
-                    // The pause ends within the time in which the endpoint counts as having just delivered,
-                    // so that an outage is not missed.
-                    let just_delivered_until =
-                        endpoint.last_delivery.unwrap_or(now) + params.target_latency as Micros / 2;
-                    endpoint.no_connect_until = (now + wait as Micros).min(if others_serve {
-                        Micros::MAX
-                    } else {
-                        just_delivered_until
-                    });
-                }
+                // The pause ends within the time in which the endpoint counts as having just delivered, so
+                // that an outage is not missed.
+                let just_delivered_until =
+                    endpoint.last_delivery.unwrap_or(now) + params.target_latency as Micros / 2;
+                let until = if others_serve { Micros::MAX } else { just_delivered_until };
+                endpoint.pause_connecting(now, now - end.elapsed, until, &params, &mut self.seed);
                 return;
             }
             _ => endpoint.avoid(now, &params),
@@ -157,6 +180,18 @@
         self.record_outcome(now, attempt.dest, attempt.endpoint, end);
     }
 
+    /// Starts or extends the period in which connections are scarce, if one was refused.
+    fn update_scarcity(&mut self, now: Micros, connect_refused: bool, outcome: Outcome) {
+        let is_table_full = outcome == Outcome::TooManyConnections;
+        if is_table_full && now >= self.connections_scarce_until {
+            // The sender that holds a connection is not refused there: all are checked, wherever it was.
+            self.used_endpoints.extend(self.endpoints.keys());
+        }
+        let warm_ups = if is_table_full { FULL_TABLE_WARM_UPS } else { Micros::from(connect_refused) };
+        let until = now + warm_ups * self.params.warm_up as Micros;
+        self.connections_scarce_until = self.connections_scarce_until.max(until);
+    }
+
     /// Returns true if another endpoint of the destination may serve.
     fn other_endpoints_serve(&self, dest: DestId, endpoint: EndpointId) -> bool {
         let dest = &self.dests[&dest];
--- a/crates/policy/src/balancer/selection.rs
+++ b/crates/policy/src/balancer/selection.rs
@@ -73,8 +73,7 @@
             } else {
                 dest.scope.usual_latency.max(params.target_latency / 16.0)
             };
-            let is_connected =
-                endpoint.idle_connections.back().is_some_and(|at| now - at < params.settings.idle_timeout);
+            let is_connected = endpoint.is_connected(now, params);
             let half_latencies = 2.0
                 + 2.0 * endpoint.calls_in_flight as f64
                 + f64::from(!is_connected)
@@ -106,10 +105,7 @@
         for (_, id) in self.ranked_endpoints(dest, now) {
             let endpoint = &self.endpoints[&id];
             let scope = if dest.kind.independent_endpoints { &endpoint.scope } else { &dest.scope };
-            let is_connected = endpoint
-                .idle_connections
-                .back()
-                .is_some_and(|at| now - at < self.params.settings.idle_timeout);
+            let is_connected = endpoint.is_connected(now, &self.params);
             let ready = scope.ready_at(now, &self.params).max(if is_connected {
                 now
             } else {
@@ -171,6 +167,9 @@
         self.calls.insert(call, batch);
         *self.calls_by_dest.entry(dest).or_default() += 1;
         let endpoint_state = self.endpoints.get_mut(&endpoint).expect("only known endpoints are sent to");
+        if endpoint_state.calls_in_flight == 0 && !endpoint_state.is_connected(now, &params) {
+            endpoint_state.connected_since = now;
+        }
         endpoint_state.calls_in_flight += 1;
         endpoint_state.idle_connections.pop_back();
         self.scope(dest, endpoint).record_send(call, now, batch >= kind.max_batch, &params);
--- a/crates/policy/src/balancer/state.rs
+++ b/crates/policy/src/balancer/state.rs
@@ -35,6 +35,8 @@
     pub(super) recent_latency: f64,
     /// When each idle connection was last used.
     pub(super) idle_connections: VecDeque<Micros>,
+    /// Since when a connection has been open, in use or idle.
+    pub(super) connected_since: Micros,
     /// Time until which other endpoints of the destination are preferred.
     pub(super) avoid_until: Micros,
     /// Number of consecutive calls that failed.
@@ -49,6 +51,13 @@
     pub(super) scope: Scope,
 }
 
+impl Endpoint {
+    /// Returns true if a connection to the endpoint is idle.
+    pub(super) fn is_connected(&self, now: Micros, params: &Params) -> bool {
+        self.idle_connections.back().is_some_and(|at| now - at < params.settings.idle_timeout)
+    }
+}
+
 /// Where a held message is.
 #[derive(Clone, Copy, PartialEq)]
 pub(super) enum Placement {
--- a/crates/policy/tests/fleet/destination.rs
+++ b/crates/policy/tests/fleet/destination.rs
@@ -56,6 +56,8 @@
     idle_timeout: Micros,
     /// Calls received during warm-up, and whether their sender had observed the outage.
     warm_up_calls: Vec<(Micros, bool)>,
+    /// Outcome of a call whose connection is refused because there are too many.
+    pub connection_refusal: Outcome,
     /// Number of refused connections.
     pub connects_refused: usize,
 }
@@ -73,6 +75,7 @@
             never_refuses: false,
             connections: BTreeMap::new(),
             max_connections: usize::MAX,
+            connection_refusal: Outcome::ConnectFailed,
             idle_timeout,
             warm_up_calls: Vec::new(),
             connects_refused: 0,
@@ -108,7 +111,7 @@
         self.connections.retain(|_, used| now - *used < idle_timeout);
         if !self.connections.contains_key(&sender) && self.connections.len() >= self.max_connections {
             self.connects_refused += 1;
-            return (Outcome::ConnectFailed, None);
+            return (self.connection_refusal, None);
         }
         self.connections.insert(sender, now);
         let is_warming_up = self.outage.is_some_and(|(_, until)| (until..until + WARM_UP).contains(&now));
--- a/crates/policy/tests/fleet/main.rs
+++ b/crates/policy/tests/fleet/main.rs
@@ -8,7 +8,7 @@
 use destination::OutageMode;
 use play::{RunResult, Scene, play};
 use std::ops::RangeInclusive;
-use yarrowhill_policy::api::Micros;
+use yarrowhill_policy::api::{Micros, Outcome};
 
 const MS: Micros = 1000;
 const SEC: Micros = 1000 * MS;
@@ -71,6 +71,20 @@
     }
 }
 
+/// Guards against a few senders that hold all connections of a destination, while it refuses the others'.
+#[test]
+fn when_a_destination_announces_too_many_connections_they_are_shared() {
+    let scene = |n| Scene {
+        connections_per_sender: Some(16.0 / n as f64),
+        connection_refusal: Outcome::TooManyConnections,
+        duration: 60 * SEC,
+        ..Scene::new(n, 0.7)
+    };
+    for (n, result) in table("0.7 times the limit, 16 connections, refusals announced", scene) {
+        assert!(result.delivered > 21.0, "{n} senders: under half of the demand of 42: {result:?}");
+    }
+}
+
 #[test]
 fn a_recovering_destination_is_not_overloaded_by_senders_that_observed_its_outage() {
     let scene = |n| Scene { outage: Some((6 * SEC, 11 * SEC)), ..Scene::new(n, 0.9) };
--- a/crates/policy/tests/fleet/play.rs
+++ b/crates/policy/tests/fleet/play.rs
@@ -44,6 +44,10 @@
     pub each_assumes_alone: bool,
     /// Maximum number of connections, as a multiple of the number of senders.
     pub connections_per_sender: Option<f64>,
+    /// Length of the run, unless an outage makes it longer.
+    pub duration: Micros,
+    /// Outcome of a call whose connection is refused because there are too many.
+    pub connection_refusal: Outcome,
     /// Time at which seven in ten senders restart with the messages that they held.
     pub restart_at: Option<Micros>,
     /// True if restarted senders keep what they knew; otherwise they know the endpoint list alone.
@@ -64,6 +68,8 @@
             never_refuses: false,
             each_assumes_alone: false,
             connections_per_sender: None,
+            duration: DURATION,
+            connection_refusal: Outcome::ConnectFailed,
             restart_at: None,
             keeps_state: false,
         }
@@ -203,6 +209,7 @@
     dest.max_connections = scene
         .connections_per_sender
         .map_or(usize::MAX, |part| ((scene.senders as f64 * part) as usize).max(1));
+    dest.connection_refusal = scene.connection_refusal;
     let new = |i| Sender {
         balancer: Sender::started(&scene, start, seed + i as u64),
         wake: Micros::MIN,
@@ -216,7 +223,8 @@
     let mut ends: BTreeMap<Micros, Vec<(usize, EndedAttempt)>> = BTreeMap::new();
     let (mut next, mut calls, mut refused) = (0, 0usize, 0usize);
     let mut now = start;
-    let end = start + scene.outage.map_or(DURATION, |(_, until)| DURATION.max(until + TIME_AFTER_OUTAGE));
+    let end = start
+        + scene.outage.map_or(scene.duration, |(_, until)| scene.duration.max(until + TIME_AFTER_OUTAGE));
     while now < end {
         if scene.limit_halves_at.is_some_and(|at| now >= start + at) {
             dest.rate = scene.limit / 2.0;
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -397,6 +397,50 @@
     }
 }
 
+/// Guards against senders that keep their idle connections to a destination which refuses all others'.
+#[test]
+fn a_sender_whose_connection_is_refused_releases_those_that_it_holds_elsewhere() {
+    let mut harness = Harness::new(many_senders(), vec![entry(10, 1, 0), entry(20, 2, 0)]);
+    harness.submit(1, 0, 1);
+    assert!(!closed(&harness.end_attempt(1, 0, Outcome::Delivered, 200 * MS)));
+    harness.now += SEC;
+    harness.submit(2, 0, 2);
+    let end = harness.end_attempt(2, 0, Outcome::TooManyConnections, 50 * MS);
+    assert!(end.contains(&Action::CloseIdle { endpoint: 10 }), "{end:?}");
+    assert_eq!(timed_sends(&harness.advance(SEC)).len(), 1, "the destination is up: retried within a second");
+}
+
+/// A sender that holds a connection is never refused one, so that it cannot know that others are.
+#[test]
+fn a_rarely_used_connection_is_closed_when_it_is_old() {
+    let mut harness = Harness::new(many_senders(), vec![entry(10, 1, 0)]);
+    let (start, warm_up) = (harness.now, many_senders().warm_up_duration);
+    let mut closed_at = None;
+    for id in 0..20 {
+        harness.submit(id, 0, 1);
+        harness.now += 50 * MS;
+        if closed(&harness.end_attempt(id, 0, Outcome::Delivered, 50 * MS)) {
+            closed_at.get_or_insert(harness.now - start);
+        }
+        harness.now += SEC;
+    }
+    let closed_at = closed_at.expect("the connection is closed");
+    assert!((warm_up / 2..2 * warm_up).contains(&closed_at), "{closed_at} us of {warm_up}");
+}
+
+/// A refused connection says nothing about the rate that a destination accepts, nor about its health.
+#[test]
+fn refused_connections_neither_reduce_the_rate_nor_count_as_an_outage() {
+    let mut harness = Harness::new(many_senders(), vec![entry(10, 1, 0)]);
+    harness.submit(1, 0, 1);
+    for attempt in 0..3 {
+        harness.end_attempt(1, attempt, Outcome::TooManyConnections, 50 * MS);
+        assert_eq!(timed_sends(&harness.advance(4 * SEC)).len(), 1, "retried within a target latency");
+    }
+    harness.end_attempt(1, 3, Outcome::Delivered, 50 * MS);
+    assert_eq!(sends(&harness.submit(2, 0, 1)).len(), 1, "the next message is sent at once");
+}
+
 /// In a recorded incident, a few connections that were refused at once were taken for an outage of seconds.
 #[test]
 fn a_connection_refused_at_once_does_not_count_as_an_outage() {
--- a/crates/rig/src/count.rs
+++ b/crates/rig/src/count.rs
@@ -277,7 +277,7 @@
         match outcome {
             "Delivered" => cell.delivered += 1,
             "Full" => cell.full += 1,
-            "ConnectFailed" | "NotSent" => cell.never_ran += 1,
+            "ConnectFailed" | "TooManyConnections" | "NotSent" => cell.never_ran += 1,
             _ => cell.may_have_run += 1,
         }
         let message = self.messages.entry(key).or_default();
@@ -290,7 +290,7 @@
                 message.open = false;
                 message.first_risky_us.get_or_insert(sent);
             }
-            "Full" | "ConnectFailed" | "NotSent" => {}
+            "Full" | "ConnectFailed" | "TooManyConnections" | "NotSent" => {}
             _ => drop(message.first_risky_us.get_or_insert(sent)),
         }
         if twice {
