--- a/crates/journal/src/store.rs
+++ b/crates/journal/src/store.rs
@@ -5,14 +5,18 @@
 use crate::mark_copy;
 use crate::record::{self, End, NoticeEnd, Record};
 use crate::replay::{OpenMessage, Replay};
-use bytes::Bytes;
 use std::collections::HashMap;
 use std::fs::{self, File, OpenOptions, TryLockError};
 use std::hash::{BuildHasher, RandomState};
-use std::io::{self, BufWriter, Write};
+use std::io::{self, Write};
 use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
-use yarrowhill_faults::{Point, crash_point};
+
+mod migration;
+mod rewrite;
+
+pub(crate) use migration::{SegmentContents, create_segment, read_segment};
+use rewrite::MAX_ENDS_PER_RECORD;
 
 /// Space reserved for each open message, so that its attempts and its end still fit when the journal is full.
 const RESERVE_BYTES: u64 = 1024;
@@ -20,8 +24,6 @@
 const MIN_COMPACT_BYTES: u64 = 256 << 10;
 /// A file is compacted to free space only if that frees at least this fraction (1/N) of the size limit.
 const MIN_FREED_DIVISOR: u64 = 16;
-/// Maximum number of ends in one record of a compacted file.
-const MAX_ENDS_PER_RECORD: usize = 1024;
 /// Bytes that a record of ends takes in addition to its ends.
 const ENDS_OVERHEAD_BYTES: u64 = 96;
 /// Slots of the table of ends that are swept for expired ends whenever space is short.
@@ -33,10 +35,6 @@
 const COMPACT_RETRY_MS: u64 = 50;
 /// Size of the chunks in which the file is read when it is opened.
 const READ_CHUNK_BYTES: usize = 64 << 10;
-/// Number of records after which a new segment is written to during migration.
-const RECORDS_PER_WRITE: usize = 1024;
-/// Size of the write buffer for a compacted copy.
-const COPY_BUFFER_BYTES: usize = 16 << 10;
 /// Damaged bytes are saved in a separate file up to this fraction (1/N) of the size limit.
 const DAMAGED_FILE_DIVISOR: u64 = 16;
 
@@ -484,255 +482,6 @@
         }
         self.ends.insert_encoded(&ends.body, now);
     }
-
-    /// Compacts the file: copies the live records into a new file that replaces the old one.
-    fn compact(&mut self, now: u64) -> Result<(), JournalError> {
-        self.rewrite(now, |journal, out| journal.copy_extents(out))
-    }
-
-    /// Writes a new file with the ends first and then the output of `copy`, and renames it over the old file.
-    fn rewrite(
-        &mut self,
-        now: u64,
-        copy: impl FnOnce(&Self, &mut CopyWriter) -> Result<(), JournalError>,
-    ) -> Result<(), JournalError> {
-        let new = self.path.with_extension("new");
-        let file = OpenOptions::new().read(true).append(true).create(true).truncate(false).open(&new)?;
-        file.set_len(0)?;
-        let out = BufWriter::with_capacity(COPY_BUFFER_BYTES, &file);
-        let mut out = CopyWriter {
-            out,
-            len: 0,
-            max_len: self.limit.saturating_sub(self.len),
-            extents: Vec::new(),
-            gaps: Vec::new(),
-        };
-        let copied = self.copy_ends(&mut out, now).and_then(|()| copy(self, &mut out)).and_then(|()| {
-            out.out.flush()?;
-            if self.durability == Durability::Disk {
-                file.sync_all()?;
-            }
-            crash_point(Point::BeforeRename);
-            Ok(fs::rename(&new, &self.path)?)
-        });
-        let (len, extents, gaps) = out.finish();
-        if let Err(e) = copied {
-            fs::remove_file(&new)?;
-            return Err(e);
-        }
-        (self.file, self.len, self.gaps) = (file, len, gaps);
-        self.live.values_mut().for_each(|live| live.extents.clear());
-        extents.into_iter().for_each(|(key, extent)| self.add_extent(key, extent));
-        if self.durability == Durability::Disk
-            && let Some(folder) = self.path.parent()
-        {
-            File::open(folder)?.sync_all()?;
-        }
-        Ok(())
-    }
-
-    /// Writes the file head and the unexpired ends. At least one record of ends is written, even an empty
-    /// one: the hash key must be kept, because the ends of several segments can be merged only if they have
-    /// the same key.
-    fn copy_ends(&self, out: &mut CopyWriter, now: u64) -> Result<(), JournalError> {
-        out.write(&frame::encode_file_head(self.mark))?;
-        let mut body = Vec::with_capacity(MAX_ENDS_PER_RECORD * ends::SLOT_BYTES);
-        let mut unexpired = self.ends.encode_unexpired(now).peekable();
-        let mut encoded = Vec::new();
-        let mut first = true;
-        while std::mem::take(&mut first) || unexpired.peek().is_some() {
-            body.clear();
-            unexpired.by_ref().take(MAX_ENDS_PER_RECORD).for_each(|end| body.extend_from_slice(&end));
-            let record =
-                Record::Ends(record::Ends { key: self.ends.key(), body: Bytes::copy_from_slice(&body) });
-            encoded.clear();
-            frame::encode(self.mark, &record, &mut encoded);
-            out.write(&encoded)?;
-        }
-        Ok(())
-    }
-
-    /// Copies the live records by their positions. The rest of the file is not read, and only a few
-    /// kilobytes at a time are in memory.
-    fn copy_extents(&self, out: &mut CopyWriter) -> Result<(), JournalError> {
-        let extents_of = |(hash, live): (&IdHash, &LiveMessage)| {
-            live.extents.iter().map(|extent| (Some((*hash, live.generation)), *extent)).collect::<Vec<_>>()
-        };
-        let mut kept: Vec<(Option<MessageKey>, Extent)> = self.live.iter().flat_map(extents_of).collect();
-        let first = kept.iter().map(|(_, extent)| extent.offset).min();
-        // A gap concerns only messages that were open before it; it is dropped once all of them are closed.
-        let gaps = self.gaps.iter().filter(|gap| first.is_some_and(|first| first < gap.offset));
-        kept.extend(gaps.map(|gap| (None, *gap)));
-        kept.sort_unstable_by_key(|(_, extent)| extent.offset);
-        let mut buffer = vec![0; COPY_BUFFER_BYTES];
-        for (key, extent) in kept {
-            out.start_record(key, extent.len);
-            let (mut at, mut left) = (extent.offset, extent.len as usize);
-            while left > 0 {
-                let part = left.min(COPY_BUFFER_BYTES);
-                self.file.read_exact_at(&mut buffer[..part], at)?;
-                out.write(&buffer[..part])?;
-                (at, left) = (at + part as u64, left - part);
-            }
-        }
-        Ok(())
-    }
-
-    /// Copies the live records of a file that is damaged or has the first format version, by reading all of
-    /// its entries.
-    fn copy_entries(&self, out: &mut CopyWriter) -> Result<(), JournalError> {
-        let (_, mut entries) =
-            frame::read(Window::new(self.file.try_clone()?, self.len, READ_CHUNK_BYTES), Some(self.mark))?;
-        // Whether a live message has been copied so far. A gap that is already on record concerns no message
-        // if not.
-        let mut has_open = false;
-        let mut encoded = Vec::new();
-        while let Some(entry) = entries.next_entry()? {
-            let (record, is_new_gap) = match entry {
-                Entry::Record { record, .. } => (record, false),
-                Entry::Damaged { .. } => (Record::Gap, true),
-                Entry::Torn { .. } => continue,
-            };
-            let key = record.id().and_then(|id| {
-                let hash = self.ends.hash(id);
-                self.live.get(&hash).map(|live| (hash, live.generation))
-            });
-            let keep = match &record {
-                Record::Closed(..) | Record::Ends(_) => false,
-                Record::Gap => has_open || is_new_gap,
-                _ => key.is_some(),
-            };
-            if !keep {
-                continue;
-            }
-            has_open |= matches!(record, Record::Accepted(_));
-            encoded.clear();
-            frame::encode(self.mark, &record, &mut encoded);
-            out.start_record(key, encoded.len() as u32);
-            out.write(&encoded)?;
-        }
-        Ok(())
-    }
-}
-
-/// The contents of a segment that is migrated.
-pub(crate) struct SegmentContents {
-    pub(crate) open: Vec<OpenMessage>,
-    pub(crate) orphans: Vec<(String, NoticeEnd)>,
-    /// Unexpired ends as encoded on disk.
-    ends: Vec<u8>,
-    /// Hash key of the ends.
-    key: ends::HashKey,
-    /// Keeps the segment locked until its contents are stored elsewhere.
-    _journal: Journal,
-}
-
-/// Reads the contents of a segment, which stays locked until they are dropped.
-pub(crate) fn read_segment(
-    folder: &Path,
-    options: Options,
-    now: u64,
-) -> Result<SegmentContents, JournalError> {
-    // The segment may have been written with another size limit. Only repairs of damage write to it here.
-    let (journal, recovered) = Journal::open(folder, options, now)?;
-    let ends = journal.ends.encode_unexpired(now).flatten().collect();
-    let key = journal.ends.key();
-    Ok(SegmentContents { open: recovered.open, orphans: recovered.orphans, ends, key, _journal: journal })
-}
-
-/// Creates a segment with these messages, and with the ends of all migrated segments. All of them have the
-/// same hash key unless a layout was assembled by hand.
-pub(crate) fn create_segment<'a>(
-    folder: &Path,
-    options: Options,
-    now: u64,
-    sources: &[SegmentContents],
-    open: &[&OpenMessage],
-    orphans: impl Iterator<Item = &'a (String, NoticeEnd)>,
-) -> Result<(), JournalError> {
-    fs::create_dir_all(folder)?;
-    let (mut journal, _) = Journal::open(folder, options, now)?;
-    if let Some(first) = sources.first() {
-        journal.ends = Ends::new(first.key);
-    }
-    for source in sources {
-        if source.key != journal.ends.key() {
-            return Err(io::Error::other("the ends of the segments have different hash keys").into());
-        }
-        journal.ends.insert_encoded(&source.ends, now);
-    }
-    // Written before anything else: the ends precede all records whose ids are hashed with their key.
-    journal.compact(now)?;
-    let mut records = Vec::new();
-    for message in open {
-        let id = &message.accepted.id;
-        records.push(Record::Accepted(message.accepted.clone()));
-        for (n, attempt) in message.attempts.iter().enumerate() {
-            records.push(Record::Sent(id.clone(), n, attempt.sent_ms, attempt.zone.clone()));
-            if !attempt.may_have_run {
-                records.push(Record::Ended(id.clone(), n, false));
-            }
-        }
-        if message.in_doubt {
-            // The message may have run at an unknown time.
-            records.push(Record::Sent(id.clone(), message.attempts.len(), 0, String::new()));
-        }
-        records.extend(
-            message
-                .pending_notice
-                .map(|end| Record::NoticePending(id.clone(), end, message.accepted.deadline)),
-        );
-        if records.len() >= RECORDS_PER_WRITE {
-            journal.commit(&records, now)?;
-            records.clear();
-        }
-    }
-    for (id, end) in orphans {
-        journal.enqueue(&Record::NoticePending(id.clone(), *end, now), now);
-    }
-    journal.commit(&records, now)?;
-    if options.durability == Durability::Disk {
-        journal.file.sync_all()?;
-        File::open(folder)?.sync_all()?;
-    }
-    Ok(())
-}
-
-/// Writer of a new file during a rewrite.
-struct CopyWriter<'a> {
-    out: BufWriter<&'a File>,
-    len: u64,
-    /// Maximum length that fits within the size limit beside the old file.
-    max_len: u64,
-    /// Positions of records of open messages.
-    extents: Vec<(MessageKey, Extent)>,
-    /// Positions of gap records.
-    gaps: Vec<Extent>,
-}
-
-impl CopyWriter<'_> {
-    /// Returns the length, and the positions of records and gaps. After a failure some output may still be
-    /// buffered; the file is removed then.
-    fn finish(self) -> (u64, Vec<(MessageKey, Extent)>, Vec<Extent>) {
-        (self.len, self.extents, self.gaps)
-    }
-
-    /// Registers the position of the record written next: a record of the message with this key, or a gap.
-    fn start_record(&mut self, key: Option<MessageKey>, len: u32) {
-        let extent = Extent { offset: self.len, len };
-        match key {
-            Some(key) => self.extents.push((key, extent)),
-            None => self.gaps.push(extent),
-        }
-    }
-
-    fn write(&mut self, bytes: &[u8]) -> Result<(), JournalError> {
-        self.len += bytes.len() as u64;
-        if self.len > self.max_len {
-            return Err(JournalError::Full);
-        }
-        Ok(self.out.write_all(bytes)?)
-    }
 }
 
 /// Draws the mark of a new file from the standard library's seed for hash tables, which can't be predicted
