--- a/crates/journal/src/segments.rs
+++ b/crates/journal/src/segments.rs
@@ -51,17 +51,18 @@
     now: u64,
     shard_of: impl Fn(u64) -> usize,
 ) -> Result<Vec<PathBuf>, JournalError> {
+    let state_error = |source| JournalError::Io { folder: state.to_owned(), source };
     let unfinished = state.join("layout.new");
     if unfinished.exists() {
-        fs::remove_dir_all(&unfinished)?;
+        fs::remove_dir_all(&unfinished).map_err(state_error)?;
     }
-    let mut found = layouts(state)?;
+    let mut found = layouts(state).map_err(state_error)?;
     found.sort();
     let Some(old) = found.pop() else { return Ok(vec![state.to_path_buf()]) };
     // Left by a process that ended between the rename and the removal: the newest layout holds all of their
     // contents.
     for layout in &found {
-        remove_layout(state, layout)?;
+        remove_layout(state, layout).map_err(state_error)?;
     }
     if old.shards == shards.max(1) {
         return Ok(old.segments(state));
@@ -70,7 +71,7 @@
     let contents: Vec<SegmentContents> = old
         .segments(state)
         .iter()
-        .map(|folder| store::read_segment(folder, options, now))
+        .map(|folder| store::read_segment(folder, options, now).map_err(|e| e.at(folder, options.max_bytes)))
         .collect::<Result<_, _>>()?;
     let new = Layout {
         generation: old.generation + 1,
@@ -83,19 +84,20 @@
         let open: Vec<&OpenMessage> = contents.iter().flat_map(|c| &c.open).filter(belongs_here).collect();
         // The destination of an orphan is lost: the first shard sends its notice.
         let orphans = contents.iter().filter(|_| number == 0).flat_map(|c| &c.orphans);
-        store::create_segment(folder, options, now, &contents, &open, orphans)?;
+        store::create_segment(folder, options, now, &contents, &open, orphans)
+            .map_err(|e| e.at(folder, options.max_bytes))?;
     }
     let sync = |folder: &Path| match options.durability {
         Durability::Process => Ok(()),
         Durability::Disk => File::open(folder)?.sync_all(),
     };
-    sync(&unfinished)?;
+    sync(&unfinished).map_err(state_error)?;
     if let Some(folder) = &new.folder {
-        fs::rename(&unfinished, folder)?;
+        fs::rename(&unfinished, folder).map_err(state_error)?;
     }
-    sync(state)?;
+    sync(state).map_err(state_error)?;
     // Still locked: no other process may accept messages there meanwhile.
-    remove_layout(state, &old)?;
+    remove_layout(state, &old).map_err(state_error)?;
     drop(contents);
     Ok(new.segments(state))
 }
--- a/crates/journal/src/store.rs
+++ b/crates/journal/src/store.rs
@@ -60,16 +60,49 @@
 #[derive(Debug, thiserror::Error)]
 pub enum JournalError {
     /// The size limit is reached.
-    #[error("the journal is full")]
-    Full,
+    #[error("the journal in {folder} is full: {max_bytes} bytes are allowed")]
+    Full {
+        /// Folder of the journal.
+        folder: PathBuf,
+        /// Maximum total size of its files in bytes.
+        max_bytes: u64,
+    },
     /// Another process has locked the folder.
     #[error("the journal in {0} is locked by another process")]
     Locked(PathBuf),
     /// A file of the journal can't be read or written.
-    #[error("cannot read or write the journal: {0}")]
+    #[error("cannot read or write the journal in {folder}: {source}")]
+    Io {
+        /// Folder of the journal.
+        folder: PathBuf,
+        /// The system's error.
+        source: io::Error,
+    },
+}
+
+/// A [`JournalError`] without its folder.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum StoreError {
+    #[error("full")]
+    Full,
+    #[error("locked")]
+    Locked,
+    #[error(transparent)]
     Io(#[from] io::Error),
 }
 
+impl StoreError {
+    /// Returns the error of the journal in a folder.
+    pub(crate) fn at(self, folder: &Path, max_bytes: u64) -> JournalError {
+        let folder = folder.to_owned();
+        match self {
+            StoreError::Full => JournalError::Full { folder, max_bytes },
+            StoreError::Locked => JournalError::Locked(folder),
+            StoreError::Io(source) => JournalError::Io { folder, source },
+        }
+    }
+}
+
 /// An unreadable part of the file.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Damage {
@@ -122,8 +155,9 @@
     file: File,
     mark: Mark,
     len: u64,
-    /// Maximum total size of the files in bytes, less the sizes of the lock file and the file of damaged
-    /// bytes.
+    /// Maximum total size of the files in bytes.
+    max_bytes: u64,
+    /// The same, less the sizes of the lock file and the file of damaged bytes.
     limit: u64,
     durability: Durability,
     /// The open messages.
@@ -158,12 +192,21 @@
     /// [`JournalError::Locked`] if another process has it open, [`JournalError::Io`] if a file can't be
     /// opened, read or written.
     pub fn open(folder: &Path, options: Options, now: u64) -> Result<(Self, Recovered), JournalError> {
+        Self::open_folder(folder, options, now).map_err(|e| e.at(folder, options.max_bytes))
+    }
+
+    /// As for [`Journal::open`].
+    pub(crate) fn open_folder(
+        folder: &Path,
+        options: Options,
+        now: u64,
+    ) -> Result<(Self, Recovered), StoreError> {
         let path = folder.join("journal");
         let lock_path = folder.join("journal.lock");
         let lock = OpenOptions::new().read(true).write(true).create(true).truncate(false).open(&lock_path)?;
         match lock.try_lock() {
             Ok(()) => {}
-            Err(TryLockError::WouldBlock) => return Err(JournalError::Locked(folder.into())),
+            Err(TryLockError::WouldBlock) => return Err(StoreError::Locked),
             Err(TryLockError::Error(e)) => return Err(e.into()),
         }
         // Left by a process that ended during a compaction; the old file is still complete.
@@ -182,6 +225,7 @@
             file,
             mark: mark.unwrap_or_else(new_mark),
             len,
+            max_bytes: options.max_bytes,
             limit: options.max_bytes.saturating_sub(FILE_HEAD_BYTES as u64),
             durability: options.durability,
             live: HashMap::new(),
@@ -218,6 +262,7 @@
                 Entry::Damaged { at, size } => {
                     recovered.damage.push(Damage { offset: *at as u64, len: *size as u64 });
                     tracing::error!(
+                        file = %journal.path.display(),
                         "journal: {size} unreadable bytes at offset {at}, saving them in {}",
                         damaged_path.display()
                     );
@@ -231,7 +276,7 @@
                 }
                 Entry::Torn { at, size } => {
                     recovered.torn_bytes = *size as u64;
-                    tracing::warn!("journal: cut off a torn tail of {size} bytes at offset {at}");
+                    tracing::warn!(file = %journal.path.display(), "journal: cut off a torn tail of {size} bytes at offset {at}");
                     journal.len = *at as u64;
                     journal.file.set_len(journal.len)?;
                 }
@@ -252,8 +297,9 @@
         } else if mark.is_none() || !recovered.damage.is_empty() {
             // Rewrites the file in the current format, with gap records in place of the damage.
             match journal.rewrite(now, Journal::copy_entries) {
-                Err(JournalError::Full) if mark.is_some() => {
+                Err(StoreError::Full) if mark.is_some() => {
                     tracing::error!(
+                        file = %journal.path.display(),
                         "journal: no space to rewrite the file without its damaged parts: {} of {} bytes used",
                         journal.len,
                         journal.limit
@@ -342,6 +388,14 @@
     ///
     /// None of these records is in the file then; the backlog is kept for the next write.
     pub fn commit(&mut self, records: &[Record], now: u64) -> Result<(), JournalError> {
+        self.write_turn(records, now).map_err(|e| {
+            let folder = self.path.parent().unwrap_or(&self.path);
+            e.at(folder, self.max_bytes)
+        })
+    }
+
+    /// As for [`Journal::commit`].
+    fn write_turn(&mut self, records: &[Record], now: u64) -> Result<(), StoreError> {
         let backlog_len = self.backlog.len();
         let mut extents = Vec::with_capacity(records.len());
         for record in records {
@@ -365,7 +419,7 @@
                 if self.len > MIN_COMPACT_BYTES.max(3 * self.compacted_len()) {
                     // A failure is harmless: the old file is complete, and the next turn tries again.
                     if let Err(e) = self.compact(now) {
-                        tracing::warn!("journal: compaction failed: {e}");
+                        tracing::warn!(file = %self.path.display(), "journal: compaction failed: {e}");
                     }
                 }
                 Ok(())
@@ -377,12 +431,12 @@
         }
     }
 
-    fn append(&mut self, now: u64) -> Result<(), JournalError> {
+    fn append(&mut self, now: u64) -> Result<(), StoreError> {
         if self.tail_unknown {
             self.repair_tail(now)?;
         }
         if self.len + self.backlog.len() as u64 > self.limit {
-            return Err(JournalError::Full);
+            return Err(StoreError::Full);
         }
         let written = self.file.write_all(&self.backlog).and_then(|()| self.sync());
         if let Err(e) = written {
@@ -400,7 +454,7 @@
 
     /// Compacts the file after a failed write and tries the write again. With this the ends of messages can
     /// be written even if the disk has less free space than the size limit assumes.
-    fn append_compacted(&mut self, now: u64, error: JournalError) -> Result<(), JournalError> {
+    fn append_compacted(&mut self, now: u64, error: StoreError) -> Result<(), StoreError> {
         self.low_space_until = now + LOW_SPACE_MS;
         let freed = self.len.saturating_sub(self.compacted_len());
         // A copy is expensive: it is not made for every turn while it frees next to nothing.
@@ -412,7 +466,7 @@
         if self.compact(now).is_err() {
             return Err(error);
         }
-        tracing::warn!("journal: compacted after a failed write: {error}");
+        tracing::warn!(file = %self.path.display(), "journal: compacted after a failed write: {error}");
         self.append(now)
     }
 
@@ -424,7 +478,7 @@
     }
 
     /// Restores the file to the last turn that was written completely.
-    fn repair_tail(&mut self, now: u64) -> Result<(), JournalError> {
+    fn repair_tail(&mut self, now: u64) -> Result<(), StoreError> {
         self.file.set_len(self.len)?;
         if self.durability == Durability::Disk {
             // Pages whose sync failed may be lost on disk although reads still return them: the file is
@@ -474,6 +528,7 @@
         if ends.key != self.ends.key() {
             if self.ends.len() > 0 || !self.live.is_empty() {
                 return tracing::error!(
+                    file = %self.path.display(),
                     "journal: ignored {} bytes of ends with another hash key",
                     ends.body.len()
                 );
--- a/crates/journal/src/store/migration.rs
+++ b/crates/journal/src/store/migration.rs
@@ -1,6 +1,6 @@
 //! Reading a whole segment and creating one from the contents of others, when the number of segments changes.
 
-use super::{Durability, Journal, JournalError, Options};
+use super::{Durability, Journal, Options, StoreError};
 use crate::ends::{self, Ends};
 use crate::record::{NoticeEnd, Record};
 use crate::replay::OpenMessage;
@@ -24,13 +24,9 @@
 }
 
 /// Reads the contents of a segment, which stays locked until they are dropped.
-pub(crate) fn read_segment(
-    folder: &Path,
-    options: Options,
-    now: u64,
-) -> Result<SegmentContents, JournalError> {
+pub(crate) fn read_segment(folder: &Path, options: Options, now: u64) -> Result<SegmentContents, StoreError> {
     // The segment may have been written with another size limit. Only repairs of damage write to it here.
-    let (journal, recovered) = Journal::open(folder, options, now)?;
+    let (journal, recovered) = Journal::open_folder(folder, options, now)?;
     let ends = journal.ends.encode_unexpired(now).flatten().collect();
     let key = journal.ends.key();
     Ok(SegmentContents { open: recovered.open, orphans: recovered.orphans, ends, key, _journal: journal })
@@ -45,9 +41,9 @@
     sources: &[SegmentContents],
     open: &[&OpenMessage],
     orphans: impl Iterator<Item = &'a (String, NoticeEnd)>,
-) -> Result<(), JournalError> {
+) -> Result<(), StoreError> {
     fs::create_dir_all(folder)?;
-    let (mut journal, _) = Journal::open(folder, options, now)?;
+    let (mut journal, _) = Journal::open_folder(folder, options, now)?;
     if let Some(first) = sources.first() {
         journal.ends = Ends::new(first.key);
     }
@@ -79,14 +75,14 @@
                 .map(|end| Record::NoticePending(id.clone(), end, message.accepted.deadline)),
         );
         if records.len() >= RECORDS_PER_WRITE {
-            journal.commit(&records, now)?;
+            journal.write_turn(&records, now)?;
             records.clear();
         }
     }
     for (id, end) in orphans {
         journal.enqueue(&Record::NoticePending(id.clone(), *end, now), now);
     }
-    journal.commit(&records, now)?;
+    journal.write_turn(&records, now)?;
     if options.durability == Durability::Disk {
         journal.file.sync_all()?;
         File::open(folder)?.sync_all()?;
--- a/crates/journal/src/store/rewrite.rs
+++ b/crates/journal/src/store/rewrite.rs
@@ -1,7 +1,7 @@
 //! Rewriting the file: a compacted copy with the ends and the records of open messages, or a copy without the
 //! damaged parts.
 
-use super::{Durability, Extent, Journal, JournalError, LiveMessage, MessageKey, READ_CHUNK_BYTES};
+use super::{Durability, Extent, Journal, LiveMessage, MessageKey, READ_CHUNK_BYTES, StoreError};
 use crate::ends::{self, IdHash};
 use crate::frame::{self, Entry, Window};
 use crate::record::{self, Record};
@@ -18,7 +18,7 @@
 
 impl Journal {
     /// Compacts the file: copies the live records into a new file that replaces the old one.
-    pub(super) fn compact(&mut self, now: u64) -> Result<(), JournalError> {
+    pub(super) fn compact(&mut self, now: u64) -> Result<(), StoreError> {
         self.rewrite(now, |journal, out| journal.copy_extents(out))
     }
 
@@ -26,8 +26,8 @@
     pub(super) fn rewrite(
         &mut self,
         now: u64,
-        copy: impl FnOnce(&Self, &mut CopyWriter) -> Result<(), JournalError>,
-    ) -> Result<(), JournalError> {
+        copy: impl FnOnce(&Self, &mut CopyWriter) -> Result<(), StoreError>,
+    ) -> Result<(), StoreError> {
         let new = self.path.with_extension("new");
         let file = OpenOptions::new().read(true).append(true).create(true).truncate(false).open(&new)?;
         file.set_len(0)?;
@@ -66,7 +66,7 @@
     /// Writes the file head and the unexpired ends. At least one record of ends is written, even an empty
     /// one: the hash key must be kept, because the ends of several segments can be merged only if they have
     /// the same key.
-    fn copy_ends(&self, out: &mut CopyWriter, now: u64) -> Result<(), JournalError> {
+    fn copy_ends(&self, out: &mut CopyWriter, now: u64) -> Result<(), StoreError> {
         out.write(&frame::encode_file_head(self.mark))?;
         let mut body = Vec::with_capacity(MAX_ENDS_PER_RECORD * ends::SLOT_BYTES);
         let mut unexpired = self.ends.encode_unexpired(now).peekable();
@@ -86,7 +86,7 @@
 
     /// Copies the live records by their positions. The rest of the file is not read, and only a few
     /// kilobytes at a time are in memory.
-    fn copy_extents(&self, out: &mut CopyWriter) -> Result<(), JournalError> {
+    fn copy_extents(&self, out: &mut CopyWriter) -> Result<(), StoreError> {
         let extents_of = |(hash, live): (&IdHash, &LiveMessage)| {
             live.extents.iter().map(|extent| (Some((*hash, live.generation)), *extent)).collect::<Vec<_>>()
         };
@@ -112,7 +112,7 @@
 
     /// Copies the live records of a file that is damaged or has the first format version, by reading all of
     /// its entries.
-    pub(super) fn copy_entries(&self, out: &mut CopyWriter) -> Result<(), JournalError> {
+    pub(super) fn copy_entries(&self, out: &mut CopyWriter) -> Result<(), StoreError> {
         let (_, mut entries) =
             frame::read(Window::new(self.file.try_clone()?, self.len, READ_CHUNK_BYTES), Some(self.mark))?;
         // Whether a live message has been copied so far. A gap that is already on record concerns no message
@@ -175,10 +175,10 @@
         }
     }
 
-    fn write(&mut self, bytes: &[u8]) -> Result<(), JournalError> {
+    fn write(&mut self, bytes: &[u8]) -> Result<(), StoreError> {
         self.len += bytes.len() as u64;
         if self.len > self.max_len {
-            return Err(JournalError::Full);
+            return Err(StoreError::Full);
         }
         Ok(self.out.write_all(bytes)?)
     }
--- a/crates/journal/src/store/tests.rs
+++ b/crates/journal/src/store/tests.rs
@@ -350,3 +350,17 @@
         assert_eq!(recovered.open.len(), 2);
     }
 }
+
+/// An operator with several forwarders on a machine has to know which folder an error is about.
+#[test]
+fn errors_name_the_folder_and_the_limit() {
+    let folder = Folder::new();
+    let name = folder.0.display().to_string();
+    let (mut journal, _) = open(&folder, 20_000);
+    let full = journal.commit(&[accepted("large", vec![0; 30_000])], NOW).expect_err("there is no space");
+    assert!(full.to_string().contains(&name) && full.to_string().contains("20000"), "{full}");
+    let options = Options { max_bytes: LIMIT, durability: Durability::Process };
+    let missing = folder.0.join("missing");
+    let unreadable = Journal::open(&missing, options, NOW).expect_err("the folder does not exist");
+    assert!(unreadable.to_string().contains(&missing.display().to_string()), "{unreadable}");
+}
--- a/crates/yarrowhill/src/sharded.rs
+++ b/crates/yarrowhill/src/sharded.rs
@@ -16,8 +16,8 @@
 use tokio::sync::{oneshot, watch};
 use tokio::task::JoinSet;
 use yarrowhill_engine::{
-    CapacityPool, Engine, EngineSenders, Input, JournalError, Options, Phase, QuotaShares, Shard,
-    distribute_lists, shard_list, shard_of, shard_settings, unix_now_ms,
+    CapacityPool, Engine, EngineSenders, Input, Options, Phase, QuotaShares, Shard, distribute_lists,
+    shard_list, shard_of, shard_settings, unix_now_ms,
 };
 use yarrowhill_http::{Intake, Pool, discovery, notices};
 
@@ -33,7 +33,7 @@
     phase: watch::Sender<Phase>,
     /// True once the server for clients has ended.
     server_ended: watch::Receiver<bool>,
-    started: oneshot::Sender<Result<(), JournalError>>,
+    started: oneshot::Sender<Result<(), RunError>>,
     fleet: FleetMembership,
 }
 
@@ -169,7 +169,7 @@
         let pool = fleet.guard_calls(Pool::new(idle, idle_timeout));
         let engine = match Engine::start(options, pool, notices, inputs.clone()) {
             Ok(engine) => engine,
-            Err(e) => return drop(started.send(Err(e))),
+            Err(e) => return drop(started.send(Err(e.into()))),
         };
         tokio::spawn(notices::send_all(discovery, batches, inputs));
         // `run` waits for this result.
