--- a/crates/policy/src/balancer/admission.rs
+++ b/crates/policy/src/balancer/admission.rs
@@ -100,9 +100,9 @@
     }
 
     /// Closes idle connections that are not kept busy, if connections are scarce, or in a large fleet if the
-    /// connection is old. Idle connections count against a destination's connection limit, and many infrequent
-    /// senders use it up. This protects all senders of a destination; the cost is one more handshake per call
-    /// where calls come in bursts.
+    /// connection is old. Idle connections count against a destination's connection limit, and many
+    /// infrequent senders use it up. This protects all senders of a destination; the cost is one more
+    /// handshake per call where calls come in bursts.
     pub(super) fn close_idle(&mut self, now: Micros, actions: &mut Vec<Action>) {
         let params = self.params.clone();
         let min_busy = (params.settings.senders as f64 / IDLE_CONNECTION_SENDERS).min(1.0);
