--- a/crates/membership/src/core.rs
+++ b/crates/membership/src/core.rs
@@ -370,9 +370,7 @@
             return;
         }
         self.observe_header(now, &header);
-        let corrections = updates.iter().filter_map(|update| self.members.correction(update)).collect();
         updates.into_iter().for_each(|update| self.apply_update(now, update));
-        self.correct_sender(from, corrections);
         match body {
             Body::Ping { seq } => self.send(from, Body::Ack { seq }),
             Body::PingReq { seq, target } if target != self.local_id && self.roster.contains(target) => {
@@ -581,25 +579,6 @@
         }
     }
 
-    /// Sends a member newer records than it has gossiped. A refutation is transmitted a limited number of times
-    /// and may miss a member, which would declare the refuting member dead although all others know better.
-    fn correct_sender(&mut self, from: MemberId, corrections: Vec<Update>) {
-        if !corrections.is_empty() {
-            self.send_updates(from, corrections);
-        }
-    }
-
-    /// Sends a packet with these updates alone.
-    fn send_updates(&mut self, to: MemberId, updates: Vec<Update>) {
-        if self.identity.is_muted()
-            || self.identity.has_duplicate(self.last_run, self.timing.duplicate_timeout)
-        {
-            return;
-        }
-        let packet = Packet { header: self.header(), body: Body::Gossip, updates };
-        self.outputs.push(Output::Send { to, packet });
-    }
-
     /// Sends a member its known record at once if it is taken for suspected or dead, or if its packet has an
     /// older incarnation, so that it can refute.
     fn notify_stale_sender(&mut self, from: MemberId, header: &Header, body: Body) {
@@ -611,7 +590,13 @@
             return;
         }
         let update = Update { about: from, record: entry.record, by: entry.source.unwrap_or(from) };
-        self.send_updates(from, vec![update]);
+        if self.identity.is_muted()
+            || self.identity.has_duplicate(self.last_run, self.timing.duplicate_timeout)
+        {
+            return;
+        }
+        let packet = Packet { header: self.header(), body: Body::Gossip, updates: vec![update] };
+        self.outputs.push(Output::Send { to: from, packet });
     }
 
     /// Pings a few of the members that are unknown or dead.
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -11,8 +11,7 @@
 /// Time (microseconds) for which the record of a member that was removed from the roster is kept, so that old
 /// updates do not count if it is added again.
 const REMOVED_RETENTION: Micros = 600_000_000;
-/// An update is transmitted at most this many times the binary logarithm of the fleet's size, except for a
-/// pending suspicion.
+/// An update is transmitted at most this many times the binary logarithm of the fleet's size.
 const TRANSMIT_FACTOR: f64 = 2.0;
 
 /// The known state of a member.
@@ -177,18 +176,6 @@
         UpdateOutcome::Applied { before }
     }
 
-    /// Returns the record in force of a member if this update wrongly claims that the member is suspected or
-    /// dead, because it is older.
-    pub fn correction(&self, update: &Update) -> Option<Update> {
-        let record = self.entries.get(&update.about)?.record;
-        let is_claim = matches!(update.record.health, Health::Suspect | Health::Dead);
-        let is_outdated = record != update.record && record.merge(update.record) == record;
-        if is_claim && is_outdated && record.health == Health::Alive {
-            return self.update_about(update.about);
-        }
-        None
-    }
-
     /// Returns, for each suspicion that has expired, the update that declares the member dead.
     pub fn expired_suspicions(&self, now: Micros, local_id: MemberId) -> Vec<Update> {
         let is_expired = |id: &&MemberId| {
@@ -250,10 +237,8 @@
         for (_, id) in order.into_iter().take(remaining) {
             if let Some((update, transmissions)) = self.gossip.get_mut(&id) {
                 updates.push(*update);
-                *transmissions = transmissions.saturating_add(1);
-                // A pending suspicion is transmitted until it ends: members that have the refutation answer
-                // with it, since it may have missed this one.
-                if *transmissions >= max_transmissions && update.record.health != Health::Suspect {
+                *transmissions += 1;
+                if *transmissions >= max_transmissions {
                     self.gossip.remove(&id);
                 }
             }
