--- a/crates/policy/tests/recovery.rs
+++ b/crates/policy/tests/recovery.rs
@@ -176,6 +176,26 @@
     );
 }
 
+/// Returns the messages of the first probe of an outage for which `classes` are queued, one message each.
+fn first_probe(classes: &[usize]) -> Vec<MessageId> {
+    let mut harness = Harness::new(settings(), vec![entry(10, 1, 2)]);
+    fail_until_outage(&mut harness);
+    for (id, class) in (0..).zip(classes) {
+        assert_eq!(sends(&harness.submit(id, *class, 1)), vec![], "the destination is down");
+    }
+    let probes = timed_sends(&harness.advance(10 * SEC));
+    let (first, ..) = probes[0];
+    probes.iter().filter(|(at, ..)| *at == first).map(|(_, id, _)| *id).collect()
+}
+
+/// A probe loses its unsafe messages if the destination is still down, and also if the process is killed.
+#[test]
+fn a_probe_is_not_filled_up_with_messages_whose_loss_does_more_harm() {
+    assert_eq!(first_probe(&[2, 1, 2, 1, 2]), vec![1, 3], "only messages that may be repeated");
+    assert_eq!(first_probe(&[2, 0, 1, 2, 0]), vec![1, 4], "only safe ones if there are any");
+    assert_eq!(first_probe(&[2, 2, 2]), vec![0, 1, 2], "unsafe ones if there is no other");
+}
+
 /// A burst exceeded a limit that is not announced. The reduction starts from the rate of the burst: the
 /// average rate of the quiet time before it says nothing about the limit.
 #[test]
