Divide unsafe messages between calls while they can wait

Cause: send (selection.rs) put all that was queued for a destination into one call. Nothing known then tells such a call from others. Ruled out: calls not yet written, shedding, silence or unanswered calls as the sign (20 to 46 in a hundred had any). Change: while half of the unsafe messages held for a destination with batches are in flight, the others wait, up to half of their target latency, or three quarters behind a call that is unanswered for longer than usual.

--- a/crates/policy/src/balancer/mod.rs
+++ b/crates/policy/src/balancer/mod.rs
@@ -1,10 +1,11 @@
 //! All decisions of a sender. The interface (settings, events, actions) is [`crate::api`].
 //!
 //! Reading order: `params` and `scope` (what is known of a destination), `state`, then by event:
-//! `endpoint_list`, `messages`, `admission` with `selection`, `outcomes`, `timers`.
+//! `endpoint_list`, `messages`, `admission` with `selection` and `exposure`, `outcomes`, `timers`.
 
 mod admission;
 mod endpoint_list;
+mod exposure;
 mod message_queue;
 mod messages;
 mod outcomes;
--- a/crates/policy/src/balancer/outcomes.rs
+++ b/crates/policy/src/balancer/outcomes.rs
@@ -3,7 +3,7 @@
 use super::params::Params;
 use super::scope::{Phase, RECENT_LATENCY_GAIN};
 use super::state::{Attempt, Balancer, Endpoint, Placement};
-use crate::api::{Action, DestId, EndedAttempt, EndpointId, Micros, Outcome};
+use crate::api::{Action, DestId, Effect, EndedAttempt, EndpointId, Micros, Outcome};
 use crate::numeric::random_unit;
 
 /// Delay of the first retry after an attempt that may have run, as a fraction (one N-th) of the target
@@ -57,6 +57,11 @@
     /// Handles the end of an attempt. Unknown attempts are ignored.
     pub(super) fn attempt_ended(&mut self, now: Micros, end: EndedAttempt, actions: &mut Vec<Action>) {
         let Some(attempt) = self.attempts.remove(&(end.id, end.attempt)) else { return };
+        if self.params.settings.classes[attempt.class].effect == Effect::Unsafe
+            && let Some(dest) = self.dests.get_mut(&attempt.dest)
+        {
+            dest.unsafe_in_flight -= 1;
+        }
         // A wait announced for one message applies to every message of the scope.
         let full_wait = if let Outcome::Full { wait } = end.outcome { wait } else { None };
         if let Some(wait) = full_wait.or(end.wait) {
@@ -129,7 +134,14 @@
         self.update_scarcity(now, connect_refused, end.outcome);
         let endpoint = self.endpoints.get_mut(&attempt.endpoint).expect("only known endpoints are sent to");
         endpoint.calls_in_flight = endpoint.calls_in_flight.saturating_sub(1);
-        if matches!(end.outcome, Outcome::Delivered | Outcome::Error | Outcome::Full { .. }) {
+        let has_responded = matches!(end.outcome, Outcome::Delivered | Outcome::Error | Outcome::Full { .. });
+        if has_responded {
+            endpoint.last_response = Some(now);
+        }
+        if has_responded || endpoint.calls_in_flight == 0 {
+            endpoint.unanswered_since = None;
+        }
+        if has_responded {
             endpoint.idle_connections.push_back(now);
             endpoint.idle_connections.retain(|at| now - at < params.settings.idle_timeout);
             self.used_endpoints.insert(attempt.endpoint);
--- a/crates/policy/src/balancer/selection.rs
+++ b/crates/policy/src/balancer/selection.rs
@@ -31,6 +31,7 @@
         now: Micros,
     ) -> Option<(f64, MessageId)> {
         let at = now + scope.usual_latency as Micros;
+        let unsafe_wait = self.unsafe_wait_share(dest, endpoint, now);
         let is_risky = scope.loss_share(now, &self.params) > DEGRADED_FAILURE_SHARE;
         let is_probe = matches!(scope.phase, Phase::Outage(_));
         let effect = |class: usize| self.params.settings.classes[class].effect;
@@ -54,6 +55,10 @@
                 if may_wait && effect == Effect::Unsafe {
                     continue;
                 }
+                let can_wait = |share| now < self.can_wait_until(message, share);
+                if effect == Effect::Unsafe && unsafe_wait.is_some_and(can_wait) {
+                    continue;
+                }
                 let value = self.value(message, at);
                 let is_better = best.is_none_or(|(best_value, best_due, _)| {
                     value > best_value || (value == best_value && due < best_due)
@@ -123,6 +128,7 @@
                 return Ok((value * batch / slot_time, id, message));
             } else {
                 check_at = check_at.min(now + self.params.target_latency as Micros / 16);
+                check_at = self.next_unsafe_at(dest, endpoint, now).map_or(check_at, |at| check_at.min(at));
             }
         }
         Err(check_at)
@@ -164,6 +170,8 @@
             let short = (TIMEOUT_LATENCY_FACTOR * usual_latency).max(2.0 * params.target_latency) as Micros;
             let timeout = if is_repeatable { short.min(time_left) } else { time_left };
             actions.push(Action::Send { id, endpoint, timeout, begin_by });
+            let dest_state = self.dests.get_mut(&dest).expect("only known destinations are sent to");
+            dest_state.unsafe_in_flight += usize::from(!is_repeatable);
             let (dest, endpoint) = (&self.dests[&dest], &self.endpoints[&endpoint]);
             let scope = if kind.independent_endpoints { &endpoint.scope } else { &dest.scope };
             // A probe most likely gets no response: it is not filled up with messages whose loss does more harm
@@ -180,6 +188,7 @@
             endpoint_state.connected_since = now;
         }
         endpoint_state.calls_in_flight += 1;
+        endpoint_state.unanswered_since.get_or_insert(now);
         endpoint_state.idle_connections.pop_back();
         self.scope(dest, endpoint).record_send(call, now, batch >= kind.max_batch, &params);
     }
--- a/crates/policy/src/balancer/state.rs
+++ b/crates/policy/src/balancer/state.rs
@@ -20,6 +20,8 @@
     /// Latency, health and limit of the destination. Where its endpoints are independent, each has a scope of
     /// its own as well.
     pub(super) scope: Scope,
+    /// Number of attempts in flight of unsafe messages.
+    pub(super) unsafe_in_flight: usize,
 }
 
 /// An endpoint.
@@ -43,6 +45,10 @@
     pub(super) consecutive_failures: u32,
     /// Time of the last delivery.
     pub(super) last_delivery: Option<Micros>,
+    /// Time of the last response.
+    pub(super) last_response: Option<Micros>,
+    /// When the first call after the last response was sent, while a call is in flight.
+    pub(super) unanswered_since: Option<Micros>,
     /// Number of consecutive waves of refused connections.
     pub(super) connect_refusals: u32,
     /// Time until which no new connection is attempted.
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -748,3 +748,68 @@
     // Probes are made, but far less often than messages are submitted.
     assert!((2..=45).contains(&probes), "{probes} probes in the last seven seconds");
 }
+
+/// Submits `count` unsafe messages, and as many keyed ones, for destination 1 in one turn.
+fn submit_unsafe_and_keyed(harness: &mut Harness, from: MessageId, count: u64) -> Vec<Action> {
+    let expires_at = harness.now + 16 * SEC;
+    let message = |id, class| {
+        let history = MessageHistory::default();
+        let (tenant, key) = (None, None);
+        Event::Submit(SubmittedMessage { id, class, tenant, key, expires_at, dest: 1, history })
+    };
+    let pair = |id| [message(id, UNSAFE), message(id + KEYED_OFFSET, KEYED)];
+    harness.turn((from..from + count).flat_map(pair).collect())
+}
+
+const KEYED: usize = 1;
+const UNSAFE: usize = 2;
+/// Added to the id of an unsafe message to get that of the keyed one submitted with it.
+const KEYED_OFFSET: MessageId = 1000;
+
+/// Returns the ids of the unsafe messages that were sent.
+fn unsafe_sends(actions: &[Action]) -> Vec<MessageId> {
+    sends(actions).into_iter().map(|(id, _)| id).filter(|id| *id < KEYED_OFFSET).collect()
+}
+
+/// A call that gets no response, or is in flight when the process is killed, loses its unsafe messages.
+#[test]
+fn one_call_carries_half_of_the_unsafe_messages_while_the_others_can_wait() {
+    let mut harness = Harness::new(settings(), vec![entry(10, 1, 2)]);
+    let first = submit_unsafe_and_keyed(&mut harness, 0, 9);
+    assert_eq!(unsafe_sends(&first), vec![0, 1, 2, 3, 4]);
+    assert_eq!(sends(&first).len(), 5 + 9, "messages that may be repeated fill the call");
+    harness.now += 100 * MS;
+    let mut after = Vec::new();
+    for (id, _) in sends(&first) {
+        after.extend(harness.end_attempt(id, 0, Outcome::Delivered, 100 * MS));
+    }
+    assert_eq!(unsafe_sends(&after), vec![5, 6, 7, 8], "nothing is in flight, and few are left");
+}
+
+/// The target latency is 3 s, so that the response can still be on time.
+#[test]
+fn unsafe_messages_behind_an_unanswered_call_wait_for_three_quarters_of_their_target_latency() {
+    let mut harness = Harness::new(settings(), vec![entry(10, 1, 2), entry(20, 1, 2)]);
+    assert_eq!(unsafe_sends(&submit_unsafe_and_keyed(&mut harness, 0, 8)).len(), 4);
+    let submitted_at = harness.now;
+    let later = timed_sends(&harness.advance(3 * SEC));
+    let later: Vec<_> = later.into_iter().filter(|(_, id, _)| *id < KEYED_OFFSET).collect();
+    assert_eq!(later.len(), 4, "they are sent although nothing was answered");
+    let waits = later.iter().map(|(at, ..)| *at - submitted_at);
+    assert!(waits.clone().all(|wait| (2250 * MS..2260 * MS).contains(&wait)), "{later:?}");
+}
+
+#[test]
+fn new_unsafe_messages_are_sent_beside_fewer_that_are_in_flight() {
+    let mut harness = Harness::new(settings(), vec![entry(10, 1, 2), entry(20, 1, 2)]);
+    assert_eq!(unsafe_sends(&submit_unsafe_and_keyed(&mut harness, 0, 3)).len(), 3, "too few to be divided");
+    let more = submit_unsafe_and_keyed(&mut harness, 10, 7);
+    assert_eq!(unsafe_sends(&more), vec![10, 11], "half of ten are in flight");
+}
+
+#[test]
+fn unsafe_messages_of_destinations_without_batches_do_not_wait() {
+    let mut harness = Harness::new(settings(), vec![entry(10, 1, 0)]);
+    let sent: usize = (0..6).map(|id| sends(&harness.submit(id, UNSAFE, 1)).len()).sum();
+    assert_eq!(sent, 6, "each call carries one message");
+}
--- a/crates/yarrowhill/tests/rare.rs
+++ b/crates/yarrowhill/tests/rare.rs
@@ -230,6 +230,49 @@
     call.answer(200);
 }
 
+/// The process is killed behind a call that its endpoint never answers. What the call carried may have run, so
+/// the next process gives it up; it must not be most of the messages that were accepted.
+#[tokio::test]
+async fn a_kill_behind_an_unanswered_call_leaves_half_of_the_unsafe_messages_unsent() {
+    const MESSAGES: usize = 12;
+    let (mut discovery, mut stub) = (Discovery::start().await, Stub::start().await);
+    let known = [target("t", stub.addr, 7, "several", "in_service")];
+    let mut forwarder = Forwarder::start(&discovery, &known, |c| {
+        c["settings"]["limits"]["maxRetryAfter"] = json!(9000.0);
+        // Longer than any step of the test takes, so that the messages can wait.
+        c["settings"]["classes"][1]["goalTime"] = json!(100_000.0);
+        c["settings"]["classes"][1]["deadline"] = json!(200_000.0);
+    })
+    .await;
+    // A wait holds the messages back until all of them are accepted. The notice shows that it has been read.
+    assert_eq!(forwarder.submit("keyed", "first", 600).await.status(), 202);
+    stub.next().await.answer_with(429, &[("Wait-Ms", "3000")], "");
+    assert_eq!(discovery.notice().await["message"], "first");
+    for n in 0..MESSAGES {
+        assert_eq!(forwarder.submit("unsafe", &format!("m{n}"), 200_000).await.status(), 202);
+    }
+    let unanswered = stub.next().await;
+    forwarder.kill();
+    unanswered.wait_closed().await;
+    forwarder.restart().await;
+    let (mut given_up, mut delivered) = (0, 0);
+    while given_up + delivered < MESSAGES {
+        tokio::select! {
+            notices = discovery.notices() => {
+                given_up += notices.iter().filter(|notice| notice["message"] != "first").count();
+            }
+            call = stub.next() => {
+                let items: Vec<Value> = serde_json::from_slice(&call.body).unwrap_or_default();
+                delivered += items.len().max(1);
+                let states: Vec<Value> =
+                    items.iter().map(|item| json!({"id": item["id"], "state": "accepted"})).collect();
+                call.answer_with(200, &[], &json!(states).to_string());
+            }
+        }
+    }
+    assert!(given_up * 2 <= MESSAGES, "{given_up} of {MESSAGES} were given up without a call");
+}
+
 /// A call was in flight when the process was killed, and the destination keeps its key for one second only.
 #[tokio::test]
 async fn does_not_repeat_a_keyed_message_after_its_key_ttl_of_a_second() {
