Show that copies of answers end or repeat the messages of other calls

What callers saw: where an endpoint writes an answer a second time on the same connection, messages that were taken on got neither a delivery nor a notice, and messages that must not be repeated were sent again.

The tests make it come each time, over real processes on loopback: an endpoint answers a call, and writes the same bytes again at a fixed moment while the next call on that connection is out.

--- a/crates/http/tests/calls.rs
+++ b/crates/http/tests/calls.rs
@@ -498,3 +498,47 @@
     }
     assert!(String::from_utf8_lossy(&text).contains("m2"));
 }
+
+/// Serves one connection: reads as many calls as there are replies, and answers each after its pieces' delays.
+async fn serve_pieces(mut stream: TcpStream, replies: &[&[(Duration, &str)]]) {
+    for pieces in replies {
+        let mut text = Vec::new();
+        while !text.ends_with(b"body") {
+            assert!(stream.read_buf(&mut text).await.expect("call is written") > 0);
+        }
+        for (delay, bytes) in *pieces {
+            tokio::time::sleep(*delay).await;
+            stream.write_all(bytes.as_bytes()).await.expect("response is read");
+        }
+    }
+}
+
+const REFUSED: &str = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+
+/// Guards against repeated effects: a copy of a refusal that comes after its connection has rested, while the
+/// next call is out, had that call's message sent again although it ran.
+#[tokio::test]
+async fn a_copy_of_a_refusal_is_not_taken_for_the_response_to_the_next_call() {
+    const DELIVERED: &str = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("port is free");
+    let to = listener.local_addr().expect("listener is bound");
+    let mut pool = Pool::new(4, Duration::from_secs(5));
+    pool.set_endpoint_address(1, Some(to));
+    let (inputs, mut updates) = mpsc::channel(8);
+    tokio::spawn(async move {
+        let (stream, _) = listener.accept().await.expect("call connects");
+        let second = [(STEP / 3, REFUSED), (STEP, DELIVERED)];
+        serve_pieces(stream, &[&[(Duration::ZERO, REFUSED)], &second]).await;
+        // Keeps the connection open.
+        std::future::pending::<()>().await;
+    });
+    let mut outcomes = Vec::new();
+    for id in 0..2 {
+        let (_sender, commands) = mpsc::channel(2);
+        let deadline = Instant::now() + STEP * 20;
+        pool.start_call(call(to, vec![item(id, deadline, deadline)], commands), inputs.clone());
+        outcomes.extend(ended(&next_update(&mut updates).await));
+        tokio::time::sleep(STEP * 3).await;
+    }
+    assert_eq!(outcomes, [(0, Outcome::Full { wait: None }), (1, Outcome::Delivered)]);
+}
