Let stand-ins write second copies of answers whatever else is on the connection

Need: the stand-in endpoint left out a copy if the next call had begun, and answered a call that came within 5 ms of a copy in the same way as the copy.

Change: copies are written when they are due, also of refusals and errors (`copy_any`), by a task of their own.

--- a/crates/rig/src/bin/rig.rs
+++ b/crates/rig/src/bin/rig.rs
@@ -38,6 +38,9 @@
         /// Number of shards of the forwarder.
         #[arg(long, default_value_t = 1)]
         shards: usize,
+        /// Has all endpoints write answers twice.
+        #[arg(long)]
+        copies: bool,
     },
     /// Plays one seed and prints its script and its breaches.
     Seed {
@@ -52,6 +55,9 @@
         /// Number of shards of the forwarder.
         #[arg(long, default_value_t = 1)]
         shards: usize,
+        /// Has all endpoints write answers twice.
+        #[arg(long)]
+        copies: bool,
     },
     /// Prints the script of a seed.
     Show {
@@ -252,9 +258,13 @@
 
 async fn command(command: Command) -> io::Result<bool> {
     match command {
-        Command::Run { seeds, from, jobs, bug, shards } => run(from..from + seeds, jobs, bug, shards).await,
-        Command::Seed { seed, bug, message, shards } => {
-            println!("{}", serde_json::to_string_pretty(&Script::draw(seed))?);
+        Command::Run { seeds, from, jobs, bug, shards, copies } => {
+            run(from..from + seeds, jobs, bug, shards, copies).await
+        }
+        Command::Seed { seed, bug, message, shards, copies } => {
+            let script = Script::draw(seed);
+            let script = if copies { script.with_copied_answers() } else { script };
+            println!("{}", serde_json::to_string_pretty(&script)?);
             let program = program_path(bug)?;
             let plan = Sweep {
                 program: &program,
@@ -262,6 +272,7 @@
                 jobs: 1,
                 bug: None,
                 shards,
+                copied_answers: copies,
                 stop_at_first: false,
             };
             let mut clean = true;
@@ -371,13 +382,26 @@
     }
 }
 
-async fn run(seeds: std::ops::Range<u64>, jobs: usize, bug: Option<Bug>, shards: usize) -> io::Result<bool> {
+async fn run(
+    seeds: std::ops::Range<u64>,
+    jobs: usize,
+    bug: Option<Bug>,
+    shards: usize,
+    copied_answers: bool,
+) -> io::Result<bool> {
     let program = program_path(bug)?;
     let count = seeds.end - seeds.start;
     let bar = progress_bar(count, bug.map_or("seeds", Bug::name));
     let (mut messages, mut max_lateness) = (0, 0.0f64);
-    let plan =
-        Sweep { program: &program, seeds: seeds.collect(), jobs, bug: None, shards, stop_at_first: false };
+    let plan = Sweep {
+        program: &program,
+        seeds: seeds.collect(),
+        jobs,
+        bug: None,
+        shards,
+        copied_answers,
+        stop_at_first: false,
+    };
     let unclean = sweep(plan, |_, outcome| {
         messages += outcome.accounts.values().map(|a| a.sent).sum::<usize>();
         max_lateness = max_lateness.max(outcome.lateness_ms);
@@ -427,6 +451,7 @@
             jobs,
             bug: Some(bug),
             shards: 1,
+            copied_answers: false,
             stop_at_first: true,
         };
         let caught = sweep(plan, |_, _| {}).await?;
--- a/crates/rig/src/script.rs
+++ b/crates/rig/src/script.rs
@@ -23,6 +23,10 @@
 const OVERLOAD_MULTIPLE: f64 = 2.0;
 /// Share of its capacity that a destination has right after an outage.
 const START_CAPACITY: f64 = 0.17;
+/// Share of the answers that are written twice, in scripts about that.
+const COPIED_SHARE: f64 = 0.3;
+/// Longest delay of these second answers (ms).
+const COPIED_WITHIN_MS: f64 = 400.0;
 /// Duration for which clients submit messages (ms).
 const TRAFFIC_MS: f64 = 3000.0;
 
@@ -134,6 +138,7 @@
                         duplicate_within_ms: maybe(&mut rng, 0.5, 300.0),
                         mixed: maybe(&mut rng, 0.5, 0.4),
                         just_in_time: maybe(&mut rng, 0.2, 0.1),
+                        duplicate_any: 0.0,
                     },
                 }
             })
@@ -207,6 +212,15 @@
         Script { shards, exit_at, ..self }
     }
 
+    /// Returns the script with endpoints that write answers of all kinds twice.
+    pub fn with_copied_answers(mut self) -> Self {
+        for dest in &mut self.dests {
+            dest.faults.duplicate_any = COPIED_SHARE;
+            dest.faults.duplicate_within_ms = COPIED_WITHIN_MS;
+        }
+        self
+    }
+
     /// Returns the time at which clients stop submitting messages (ms).
     pub fn traffic_ms(&self) -> f64 {
         TRAFFIC_MS
--- a/crates/rig/src/sweep.rs
+++ b/crates/rig/src/sweep.rs
@@ -27,6 +27,8 @@
     pub bug: Option<Bug>,
     /// Number of shards of the forwarder.
     pub shards: usize,
+    /// Has all endpoints of the scripts write answers twice.
+    pub copied_answers: bool,
     /// Stops at the first run that is not clean.
     pub stop_at_first: bool,
 }
@@ -46,11 +48,17 @@
     let mut runs = JoinSet::new();
     for seed in sweep.seeds {
         let (permits, program) = (permits.clone(), sweep.program.to_owned());
-        let (bug, shards) = (sweep.bug, sweep.shards);
+        let scene = match sweep.bug.map(|bug| bug.scene(seed)) {
+            None if sweep.copied_answers => Scene::Script(Script::draw(seed).with_copied_answers()),
+            None => Scene::Script(Script::draw(seed)),
+            Some(scene) => scene,
+        };
+        let name = format!("{seed}-{}", sweep.bug.map_or("none", Bug::name));
+        let shards = sweep.shards;
         runs.spawn(async move {
             let _permit = permits.acquire_owned().await.map_err(io::Error::other)?;
             for tries in 1.. {
-                let outcome = play_once(seed, bug, shards, &program).await?;
+                let outcome = play_once(&scene, &name, shards, &program).await?;
                 if outcome.lateness_ms <= MAX_LATENESS_MS || tries == MAX_TRIES {
                     return Ok::<_, io::Error>((seed, outcome));
                 }
@@ -74,13 +82,12 @@
     Ok(unclean)
 }
 
-async fn play_once(seed: u64, bug: Option<Bug>, shards: usize, program: &Path) -> io::Result<RunOutcome> {
-    let folder = run_folder(&format!("{seed}-{}", bug.map_or("none", Bug::name)));
-    let outcome = match bug.map(|bug| bug.scene(seed)) {
-        None => play_script(&Script::draw(seed).with_shards(shards), program, &folder).await?,
-        Some(Scene::Script(script)) => play_script(&script.with_shards(shards), program, &folder).await?,
-        Some(Scene::Load(load)) => play_load(&load, program, &folder).await?.into(),
-        Some(Scene::Fleet(scene)) => play_scene(&scene, &[program], &folder).await?.into(),
+async fn play_once(scene: &Scene, name: &str, shards: usize, program: &Path) -> io::Result<RunOutcome> {
+    let folder = run_folder(name);
+    let outcome = match scene.clone() {
+        Scene::Script(script) => play_script(&script.with_shards(shards), program, &folder).await?,
+        Scene::Load(load) => play_load(&load, program, &folder).await?.into(),
+        Scene::Fleet(scene) => play_scene(&scene, &[program], &folder).await?.into(),
     };
     if outcome.is_clean() || std::env::var_os("YARROWHILL_RIG_KEEP").is_none() {
         // Best effort: a leftover folder affects no later run.
--- a/crates/rig/tests/bugs.rs
+++ b/crates/rig/tests/bugs.rs
@@ -22,8 +22,15 @@
     for bug in PLAYED {
         let program = scratch.build(bug).unwrap_or_else(|e| panic!("{e}"));
         let seeds = (0..SEEDS).collect();
-        let plan =
-            Sweep { program: &program, seeds, jobs: 4, bug: Some(bug), shards: 1, stop_at_first: true };
+        let plan = Sweep {
+            program: &program,
+            seeds,
+            jobs: 4,
+            bug: Some(bug),
+            shards: 1,
+            copied_answers: false,
+            stop_at_first: true,
+        };
         let caught = sweep(plan, |_, _| {}).await.expect("the runs can be played");
         let (seed, outcome) = caught.first().unwrap_or_else(|| panic!("{} is not caught", bug.name()));
         println!("{}: seed {seed}: {:?} {:?}", bug.name(), outcome.breaches.first(), outcome.crashed);
--- a/crates/standins/src/endpoint.rs
+++ b/crates/standins/src/endpoint.rs
@@ -78,7 +78,7 @@
     /// Share with a valid answer that is sent twice.
     #[serde(rename = "copy")]
     pub duplicate: f64,
-    /// Maximum delay of the second answer (ms). It is not sent if another call has begun by then.
+    /// Maximum delay of the second answer (ms). It is sent even if another call has begun by then.
     #[serde(rename = "copy_after")]
     pub duplicate_within_ms: f64,
     /// Share of the batches in which some items are deferred, failed or expired.
@@ -86,6 +86,14 @@
     /// Share answered just before the earliest deadline in the call.
     #[serde(rename = "last_moment")]
     pub just_in_time: f64,
+    /// Share of all answers, refusals and errors among them, that are written a second time within
+    /// `duplicate_within_ms`.
+    #[serde(rename = "copy_any", default, skip_serializing_if = "is_zero")]
+    pub duplicate_any: f64,
+}
+
+fn is_zero(share: &f64) -> bool {
+    *share == 0.0
 }
 
 /// State that the endpoints of one destination share: its rate limit, its outage, its latency.
@@ -199,6 +207,19 @@
 }
 
 impl State {
+    /// Draws the delay of a second answer.
+    fn duplicate_delay(&mut self) -> Duration {
+        let max = self.faults.duplicate_within_ms;
+        let delay_ms = if max > 0.0 { self.rng.random_range(0.0..max) } else { 0.0 };
+        Duration::from_secs_f64(delay_ms / 1000.0)
+    }
+
+    /// Draws whether an answer of any kind is written a second time, and when.
+    fn draw_duplicate(&mut self) -> Option<Duration> {
+        let share = self.faults.duplicate_any;
+        (share > 0.0 && self.rng.random_bool(share)).then(|| self.duplicate_delay())
+    }
+
     fn react(&mut self, now: f64, batch: bool) -> Reaction {
         match self.down {
             Some(Down::Refusing(until)) => return Reaction::Refuse(Some((until - now).max(1.0))),
@@ -325,21 +346,15 @@
     }
 }
 
-/// A call that begins within this time after a duplicate answer may have been sent before the answer arrived.
-const CROSSING_MS: f64 = 5.0;
-
 /// What to do with a connection after a call.
 enum Next {
     /// Wait for another call.
     Call,
-    /// Wait for another call, after the last answer has just been sent a second time.
-    DuplicateSent,
     /// Reset the connection.
     Reset,
 }
 
 async fn serve(mut connection: Connection, uid: &str, dest: &Destination) -> io::Result<()> {
-    let mut duplicate_sent: Option<f64> = None;
     loop {
         if !connection.await_first_byte().await? {
             return Ok(());
@@ -355,16 +370,8 @@
             ids: ids.clone(),
         });
         let call = Call { number, ids, batch, dest };
-        if duplicate_sent.take().is_some_and(|at| dest.ledger.now() < at + CROSSING_MS) {
-            // The call may have been sent before the duplicate answer arrived, and then its sender takes the
-            // duplicate for the answer to this call. So the call is answered in the same way.
-            call.record_answer(CallEnd::Delivered, None);
-            connection.write(&call.valid_answer()).await?;
-            continue;
-        }
         match answer_to(&mut connection, &call).await {
             Ok(Next::Call) => {}
-            Ok(Next::DuplicateSent) => duplicate_sent = Some(dest.ledger.now()),
             Ok(Next::Reset) => {
                 connection.reset();
                 return Ok(());
@@ -398,7 +405,7 @@
     if let Reaction::Refuse(wait) = reaction {
         let headers: Vec<_> = wait.iter().map(|w| ("Wait-Ms", format!("{w:.0}"))).collect();
         let status = if wait.is_some() { 429 } else { 503 };
-        connection.write(&answer(status, &headers, b"")).await?;
+        write_answer(connection, call, answer(status, &headers, b"")).await?;
         call.record_answer(CallEnd::NeverRan, wait);
         return Ok(Next::Call);
     }
@@ -411,11 +418,11 @@
     match reaction {
         Reaction::Refuse(_) => {}
         Reaction::Serve => {
-            connection.write(&call.valid_answer()).await?;
+            write_answer(connection, call, call.valid_answer()).await?;
             call.record_answer(CallEnd::Delivered, None);
         }
         Reaction::Error => {
-            connection.write(&answer(500, &[], b"")).await?;
+            write_answer(connection, call, answer(500, &[], b"")).await?;
             call.record_answer(CallEnd::MayHaveRun, None);
         }
         Reaction::Reset => {
@@ -441,30 +448,18 @@
         }
         Reaction::Duplicate => {
             let valid = call.valid_answer();
-            let delay = {
-                let mut state = dest.lock();
-                let max = state.faults.duplicate_within_ms;
-                if max > 0.0 { state.rng.random_range(0.0..max) } else { 0.0 }
-            };
-            if delay == 0.0 {
+            let delay = dest.lock().duplicate_delay();
+            if delay.is_zero() {
                 connection.write(&[&valid[..], &valid].concat()).await?;
-                call.record_answer(CallEnd::Delivered, None);
             } else {
                 connection.write(&valid).await?;
-                call.record_answer(CallEnd::Delivered, None);
-                // The duplicate is not sent if another call has begun: it would be taken for that call's
-                // answer.
-                let next =
-                    timeout(Duration::from_secs_f64(delay / 1000.0), connection.await_first_byte()).await;
-                if next.is_err() {
-                    connection.write(&valid).await?;
-                    return Ok(Next::DuplicateSent);
-                }
+                connection.write_later(delay, valid);
             }
+            call.record_answer(CallEnd::Delivered, None);
         }
         Reaction::Mixed => {
             let body = call.item_states(|n| ["accepted", "deferred", "fault", "expired"][n % 4]);
-            connection.write(&answer(200, &[], &body)).await?;
+            write_answer(connection, call, answer(200, &[], &body)).await?;
             let end =
                 |n: usize| [CallEnd::Delivered, CallEnd::NeverRan, CallEnd::MayHaveRun, CallEnd::Over][n % 4];
             let ends = call.ids.iter().enumerate().map(|(n, id)| (id.clone(), end(n))).collect();
@@ -475,6 +470,15 @@
     Ok(Next::Call)
 }
 
+/// Writes an answer, and perhaps a second time later.
+async fn write_answer(connection: &mut Connection, call: &Call<'_>, answer: Vec<u8>) -> io::Result<()> {
+    connection.write(&answer).await?;
+    if let Some(delay) = call.dest.lock().draw_duplicate() {
+        connection.write_later(delay, answer);
+    }
+    Ok(())
+}
+
 /// Waits while a call is served. Returns false if the peer closed the connection or sent more bytes
 /// meanwhile.
 async fn serve_for(connection: &mut Connection, ms: f64) -> bool {
--- a/crates/standins/src/wire.rs
+++ b/crates/standins/src/wire.rs
@@ -1,8 +1,11 @@
 //! HTTP/1.1 as bytes: stand-ins must be able to send what no library would.
 
 use std::io;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use std::sync::Arc;
+use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
 
 /// Maximum number of unprocessed bytes of a connection.
 const MAX_BUFFERED_BYTES: usize = 4 << 20;
@@ -28,27 +31,41 @@
 /// A connection, and the bytes read from it beyond the last request or answer.
 #[derive(Debug)]
 pub(crate) struct Connection {
-    stream: TcpStream,
+    stream: Arc<TcpStream>,
     buffer: Vec<u8>,
+    /// Writes that come later, whatever is read or written meanwhile.
+    later: JoinSet<io::Result<()>>,
 }
 
 impl Connection {
     pub(crate) fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true);
-        Connection { stream, buffer: Vec::new() }
+        Connection { stream: Arc::new(stream), buffer: Vec::new(), later: JoinSet::new() }
     }
 
     /// Waits for the first byte of the next request or answer. Returns false if the peer closed the
     /// connection first.
     pub(crate) async fn await_first_byte(&mut self) -> io::Result<bool> {
         while self.buffer.is_empty() {
-            if self.stream.read_buf(&mut self.buffer).await? == 0 {
+            if self.read_some().await? == 0 {
                 return Ok(false);
             }
         }
         Ok(true)
     }
 
+    /// Reads what has arrived, and waits for it if nothing has. Returns the number of bytes, 0 at the end of
+    /// the stream.
+    async fn read_some(&mut self) -> io::Result<usize> {
+        loop {
+            self.stream.readable().await?;
+            match self.stream.try_read_buf(&mut self.buffer) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                read => return read,
+            }
+        }
+    }
+
     /// Reads one request or answer with a `Content-Length`, or without a body.
     pub(crate) async fn read(&mut self) -> io::Result<HttpMessage> {
         let head = loop {
@@ -76,26 +93,28 @@
         if self.buffer.len() > MAX_BUFFERED_BYTES {
             return Err(io::ErrorKind::InvalidData.into());
         }
-        match self.stream.read_buf(&mut self.buffer).await? {
+        match self.read_some().await? {
             0 => Err(io::ErrorKind::UnexpectedEof.into()),
             _ => Ok(()),
         }
     }
 
     pub(crate) async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
-        self.stream.write_all(bytes).await
+        write_all(&self.stream, bytes).await
+    }
+
+    /// Writes the bytes after a delay, unless the connection is closed before.
+    pub(crate) fn write_later(&mut self, delay: Duration, bytes: Vec<u8>) {
+        let stream = self.stream.clone();
+        self.later.spawn(async move {
+            sleep(delay).await;
+            write_all(&stream, &bytes).await
+        });
     }
 
     /// Waits until the peer closes the connection or sends a byte. Returns true if it closed.
     pub(crate) async fn await_close(&mut self) -> bool {
-        let mut byte = [0];
-        match self.stream.read(&mut byte).await {
-            Ok(0) | Err(_) => true,
-            Ok(_) => {
-                self.buffer.push(byte[0]);
-                false
-            }
-        }
+        !self.read_some().await.is_ok_and(|read| read > 0)
     }
 
     /// Closes the connection with a reset: data that is still in flight is not delivered.
@@ -104,6 +123,17 @@
     }
 }
 
+async fn write_all(stream: &TcpStream, mut bytes: &[u8]) -> io::Result<()> {
+    while !bytes.is_empty() {
+        stream.writable().await?;
+        match stream.try_write(bytes) {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            written => bytes = &bytes[written?..],
+        }
+    }
+    Ok(())
+}
+
 /// Returns the bytes of an answer with a body.
 pub(crate) fn answer(status: u16, headers: &[(&str, String)], body: &[u8]) -> Vec<u8> {
     let mut text = format!("HTTP/1.1 {status} Any\r\nContent-Length: {}\r\n", body.len());
