Do not take an answer that no request asked for as that of the next call

What callers saw: messages taken on got neither a delivery nor a notice, and messages that must not be repeated were sent again, where an endpoint writes answers twice on a connection.

Cause: responses were matched to calls by their order on the connection alone. The socket was checked before the first byte of a call (`before_write`), so that a copy that came a moment later was read as the response to that call; its own response was then read by the next call, or thrown away with the connection.

Change: the order is trusted only where it is known. A response to a batch has to name its messages; one that names none is passed over. The 200 to a single message on a connection that has carried others is reported as provisional: the engine keeps the message, journalled as sent, until nothing has followed the response for 250 ms to 1 s (twice the connection's slowest response), and resumes it as after a restart if the response turns out to be another call's; if it expires before, a notice ends it. A refusal or an error with the contents of an earlier response is held back for that time. What follows a response is read by the HTTP parser as a further one, so that its wait is obeyed. A connection rests for 500 ms after each call, in which copies arrive and close it. A status line inside the head, or inside a truncated body, shows that only a part of a copy came. Why it works: a copy shifts the order, and a shifted connection brings one response more than it had requests.

New in the debug log: connection, status and duration of each response, 'further response', 'delivery revoked'.

--- a/crates/bench/src/scale.rs
+++ b/crates/bench/src/scale.rs
@@ -137,6 +137,7 @@
         let mut end = |call: Call| {
             *delivered += call.items.len() * usize::from(is_delivered);
             let ended = call.items.iter().map(|item| AttemptEnd {
+                is_provisional: false,
                 id: item.id,
                 attempt: item.attempt,
                 outcome,
--- a/crates/engine/src/call.rs
+++ b/crates/engine/src/call.rs
@@ -76,6 +76,8 @@
     pub outcome: Outcome,
     /// Whether the message is finished, so that nothing more has to be done for it.
     pub finished: bool,
+    /// Whether the end may turn out to be that of another call. [`crate::Input::AttemptSettled`] follows.
+    pub is_provisional: bool,
     /// Limit that the destination reported.
     pub report: Option<LimitReport>,
     /// Wait that the destination demanded, with any outcome.
--- a/crates/engine/src/engine/calls.rs
+++ b/crates/engine/src/engine/calls.rs
@@ -112,17 +112,22 @@
 
     pub(super) fn call_update(&mut self, now: Micros, update: CallUpdate) {
         if update.ended.iter().any(|end| end.wait.is_some()) {
-            // A wait applies to all endpoints of the destination.
-            let dest = self.endpoints.get(update.endpoint).map(|endpoint| endpoint.dest);
-            self.defer_calls(|endpoints, id| endpoints.get(id).map(|endpoint| endpoint.dest) == dest);
+            self.defer_calls_to_destination(update.endpoint);
         }
         for ended in update.ended {
-            self.attempt_ended(now, ended);
+            self.attempt_ended(now, update.endpoint, ended);
         }
     }
 
-    pub(super) fn attempt_ended(&mut self, now: Micros, ended: AttemptEnd) {
-        let AttemptEnd { id, attempt, outcome, finished, report, wait } = ended;
+    /// Forbids writing what is not yet written of the calls to the destination of an endpoint: a wait applies
+    /// to all its endpoints.
+    pub(super) fn defer_calls_to_destination(&mut self, endpoint: EndpointId) {
+        let dest = self.endpoints.get(endpoint).map(|endpoint| endpoint.dest);
+        self.defer_calls(|endpoints, id| endpoints.get(id).map(|endpoint| endpoint.dest) == dest);
+    }
+
+    pub(super) fn attempt_ended(&mut self, now: Micros, endpoint: EndpointId, ended: AttemptEnd) {
+        let AttemptEnd { id, attempt, outcome, finished, is_provisional, report, wait } = ended;
         let Some(out) = self.in_flight.remove(&(id, attempt)) else { return };
         let mut is_late = false;
         if let Some(call) = self.calls.get_mut(&out.call) {
@@ -136,28 +141,44 @@
                 }
             }
         }
-        let unix_ms = unix_now_ms();
-        let elapsed = now - out.sent_at;
+        let (sent_at, elapsed) = (out.sent_at, now - out.sent_at);
         let name = || self.messages.get(&id).map(|m| &*m.accepted.id);
-        tracing::debug!(id = name(), attempt, ?outcome, took = elapsed, ?report, wait, "ended");
+        tracing::debug!(
+            id = name(),
+            attempt,
+            ?outcome,
+            provisional = is_provisional,
+            took = elapsed,
+            ?report,
+            wait,
+            "ended"
+        );
         if finished && let Some(message) = self.messages.remove(&id) {
-            self.ids.remove(&message.accepted.id);
             if outcome == Outcome::Delivered && is_late {
                 // An answer this close to the call's expiry may have been given after the client's time was
                 // up, when it no longer counts. A notice for a message that has ended does no harm.
+                self.ids.remove(&message.accepted.id);
                 self.enqueue_notice(message.accepted, NoticeEnd::GivenUp);
+            } else if is_provisional {
+                self.provisional.insert(id, attempt, Provisional { message, sent_at });
             } else {
-                let Accepted { id, deadline, .. } = message.accepted;
-                let end = if outcome == Outcome::Delivered { End::Delivered } else { End::Failed };
-                self.journal.enqueue(&Record::Closed(id, end, deadline), unix_ms);
+                self.ids.remove(&message.accepted.id);
+                self.close(message, outcome);
             }
         } else if let Some(message) = self.messages.get_mut(&id) {
-            message.was_tried |= outcome != Outcome::NotSent;
-            let record = Record::Ended(message.accepted.id.clone(), attempt, !outcome.never_ran());
-            self.journal.enqueue(&record, unix_ms);
+            let zone = self.endpoints.get(endpoint).and_then(|e| index_of(&self.names.zones, &e.zone));
+            let record = message.attempt_ended(attempt, outcome, sent_at, zone);
+            self.journal.enqueue(&record, unix_now_ms());
         }
         let finished = !self.messages.contains_key(&id);
         let ended = EndedAttempt { id, attempt, outcome, elapsed, finished, report, wait };
         self.balancer.on_event(now, Event::AttemptEnded(ended), &mut self.actions);
     }
+
+    /// Records that a message is finished by an attempt with this outcome.
+    pub(super) fn close(&mut self, message: Message, outcome: Outcome) {
+        let Accepted { id, deadline, .. } = message.accepted;
+        let end = if outcome == Outcome::Delivered { End::Delivered } else { End::Failed };
+        self.journal.enqueue(&Record::Closed(id, end, deadline), unix_now_ms());
+    }
 }
--- a/crates/engine/src/engine/intake.rs
+++ b/crates/engine/src/engine/intake.rs
@@ -24,7 +24,9 @@
             Some((End::Failed, _)) => Some(Answer::Failed),
             Some((End::Refused, _)) => Some(Answer::Refused(None)),
             None if self.ids.contains_key(&message_id) => Some(Answer::Accepted),
-            None if !self.capacity.admits(self.messages.len()) => Some(Answer::Refused(None)),
+            None if !self.capacity.admits(self.messages.len() + self.provisional.len()) => {
+                Some(Answer::Refused(None))
+            }
             None => None,
         };
         let class_name = self.names.classes.get(class).cloned();
@@ -53,6 +55,7 @@
             expires_at,
             attempts: 0,
             was_tried: false,
+            first_possible_run: None,
             clients: vec![answer],
             is_accepted: false,
         };
@@ -107,17 +110,23 @@
             first_possible_run,
             was_accepted: true,
         };
-        let class = index_of(&self.names.classes, &accepted.class);
-        let tenant = accepted.tenant.as_ref().and_then(|t| index_of(&self.names.tenants, t));
         let expires_at = now.saturating_add(offset_us(accepted.deadline));
         let message = Message {
             accepted,
             expires_at,
             attempts: history.attempts,
             was_tried: history.attempts > 0,
+            first_possible_run,
             clients: Vec::new(),
             is_accepted: true,
         };
+        self.resubmit(now, message, history);
+    }
+
+    /// Submits an accepted message to the decision module again.
+    pub(super) fn resubmit(&mut self, now: Micros, message: Message, history: MessageHistory) {
+        let class = index_of(&self.names.classes, &message.accepted.class);
+        let tenant = message.accepted.tenant.as_ref().and_then(|t| index_of(&self.names.tenants, t));
         match class {
             Some(class) => drop(self.submit(now, message, class, tenant, history)),
             // The class is no longer in the settings, so nothing can be promised about the message's effect.
--- a/crates/engine/src/engine/mod.rs
+++ b/crates/engine/src/engine/mod.rs
@@ -5,6 +5,7 @@
 mod commit;
 mod intake;
 mod notices;
+mod provisional;
 
 use crate::call::{AttemptEnd, Call, CallCommand, CallUpdate, Item};
 use crate::capacity::{CapacityPool, MessageCapacity};
@@ -15,6 +16,7 @@
 use crate::message::{Answer, Notice, Submission};
 use crate::quota_shares::QuotaShares;
 use crate::transport::Transport;
+use provisional::{Provisional, ProvisionalDeliveries};
 use std::collections::HashMap;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -110,6 +112,8 @@
     attempts: usize,
     /// Whether an attempt went beyond the decision: a connection was tried, or a byte written.
     was_tried: bool,
+    /// When the first attempt that may have run was sent, and the zone of its endpoint.
+    first_possible_run: Option<(Micros, usize)>,
     /// Clients that wait for the answer; none once the message is accepted. A client that repeats a request
     /// on a new connection may be in here twice: both requests must get the same answer.
     clients: Vec<oneshot::Sender<Answer>>,
@@ -121,6 +125,23 @@
     fn answer(&mut self, answer: Answer) -> bool {
         self.clients.drain(..).map(|client| client.send(answer)).filter(Result::is_ok).count() > 0
     }
+
+    /// Notes the end of an attempt that did not finish the message, and returns its record. `zone` is that of
+    /// the endpoint.
+    fn attempt_ended(
+        &mut self,
+        attempt: usize,
+        outcome: Outcome,
+        sent_at: Micros,
+        zone: Option<usize>,
+    ) -> Record {
+        self.was_tried |= outcome != Outcome::NotSent;
+        let may_have_run = !outcome.never_ran();
+        if may_have_run && self.first_possible_run.is_none() {
+            self.first_possible_run = Some((sent_at, zone.unwrap_or(usize::MAX)));
+        }
+        Record::Ended(self.accepted.id.clone(), attempt, may_have_run)
+    }
 }
 
 /// An attempt in flight.
@@ -159,6 +180,7 @@
     journal: Journal,
     transport: T,
     messages: HashMap<MessageId, Message>,
+    provisional: ProvisionalDeliveries,
     capacity: MessageCapacity,
     /// Present if there are other shards.
     tenants: Option<TenantQuotas>,
@@ -217,6 +239,7 @@
             journal,
             transport,
             messages: HashMap::new(),
+            provisional: ProvisionalDeliveries::default(),
             ids: HashMap::new(),
             next_id: 0,
             endpoints: Endpoints::default(),
@@ -256,18 +279,19 @@
         if !self.events.is_empty() {
             return Instant::now();
         }
-        let first = self.wake_at.into_iter().chain(self.discovery_deadline).min();
+        let times = [self.wake_at, self.discovery_deadline, self.provisional.next_expiry()];
+        let first = times.into_iter().flatten().min();
         first.map_or(latest, |at| self.clock.instant(at).min(latest))
     }
 
-    /// Returns the number of attempts in flight.
+    /// Returns the number of attempts in flight, those among them whose delivery is not confirmed.
     pub fn attempts_in_flight(&self) -> usize {
-        self.in_flight.len()
+        self.in_flight.len() + self.provisional.len()
     }
 
     /// Returns the number of open messages, sent or not.
     pub fn open_messages(&self) -> usize {
-        self.messages.len()
+        self.messages.len() + self.provisional.len()
     }
 
     /// Returns whether all records are written to the journal.
@@ -287,6 +311,7 @@
             match input {
                 Input::Submission(message) => submitted.extend(self.receive(now, message)),
                 Input::CallUpdate(update) => self.call_update(now, update),
+                Input::AttemptSettled(update) => self.attempts_settled(now, update),
                 Input::List(list) => {
                     self.discovery_deadline = None;
                     self.apply_list(now, &list);
@@ -299,6 +324,7 @@
                 Input::Shutdown => {}
             }
         }
+        self.expire_provisional(now);
         self.discovery_deadline = self.discovery_deadline.filter(|deadline| now < *deadline);
         if self.wake_at.is_some_and(|at| at <= now) {
             self.wake_at = None;
@@ -335,7 +361,7 @@
         }
         self.commit(now, submitted, attempts);
         self.send_notices();
-        self.capacity.release_unused(self.messages.len());
+        self.capacity.release_unused(self.open_messages());
         self.transport.prune_idle();
     }
 
--- a/crates/engine/src/input.rs
+++ b/crates/engine/src/input.rs
@@ -11,6 +11,8 @@
     Submission(Submission),
     /// Attempts of a call have ended.
     CallUpdate(CallUpdate),
+    /// The final ends of attempts whose ends were provisional.
+    AttemptSettled(CallUpdate),
     /// Discovery sent the endpoint list, or changes to it.
     List(EndpointList),
     /// The platform has acknowledged these notices.
--- a/crates/engine/tests/engine.rs
+++ b/crates/engine/tests/engine.rs
@@ -135,6 +135,7 @@
             id: item.id,
             attempt: item.attempt,
             outcome,
+            is_provisional: false,
             finished,
             report: None,
             wait: None,
--- a/crates/http/src/calls.rs
+++ b/crates/http/src/calls.rs
@@ -3,6 +3,7 @@
 use crate::connection::{self, CancelHandle, Connection, SendError};
 use crate::gate_handle::GateHandle;
 use crate::idle::CheckIn;
+use crate::own_response::{own_response, rest, settle};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
@@ -11,6 +12,7 @@
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use serde::{Deserialize, Serialize};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::time::Duration;
@@ -121,6 +123,7 @@
             endpoint = pending.call.endpoint,
             first = pending.waiting.first().map(|i| &*i.message_id),
             kept = is_reused,
+            connection = open.id,
             "written"
         );
         #[cfg(feature = "gate")]
@@ -129,9 +132,10 @@
         pending.is_new_connection = !is_reused;
         pending.cancel_after = Instant::now() + MIN_CANCEL_AGE;
         let begin_by = pending.waiting.iter().map(|i| Stage::Connecting.deadline(i)).min();
+        let batch_ids = pending.batch_ids();
         let cancel = open.cancel_handle();
         let (result, is_cancelled) = {
-            let mut exchange = pin!(exchange(open, request, begin_by));
+            let mut exchange = pin!(exchange(open, request, begin_by, &batch_ids));
             match pending.wait_for(exchange.as_mut(), Stage::Written).await {
                 Some(result) => (Some(result), false),
                 None => (pending.cancel_exchange(exchange, &cancel).await, true),
@@ -154,15 +158,20 @@
         gate.call_ended(pending.call.dest, began.elapsed(), result);
     }
     if is_cancelled && let Some(open) = connection.take() {
-        pending.apply_status_line(open.status());
+        // On a connection that has carried other calls, the status line may belong to a copy.
+        let status = open.status().filter(|_| open.history.is_empty());
+        pending.apply_status_line(status);
         open.close().await;
     }
-    if let Some(result) = result {
-        let is_reusable = result.as_ref().is_ok_and(|r| r.is_complete && !r.is_malformed);
-        check_in.put_back(connection.filter(|_| is_reusable));
-        pending.ended.extend(outcomes(&pending.waiting, &result, pending.is_new_connection));
-    }
+    let Some(result) = result else { return pending.report().await };
+    pending.ended.extend(outcomes(&pending.waiting, &result, pending.is_new_connection));
     pending.report().await;
+    if let (Ok(response), Some(open)) = (result, connection)
+        && response.is_complete
+        && !response.is_malformed
+    {
+        pending.settle(open, response, check_in).await;
+    }
 }
 
 /// Waits for `work`. Returns its result, and whether the process was suspended just before `work` was done.
@@ -264,13 +273,60 @@
         cancel: &CancelHandle,
     ) -> Option<Result<CallResponse, CallError>> {
         cancel.half_close();
-        let result = timeout(cancel.grace, exchange).await.ok().filter(Result::is_ok);
-        if result.is_some() {
-            // The response decides the outcomes that have not been reported.
-            self.ended.clear();
-            self.waiting.append(&mut self.ended_items);
+        let response = timeout(cancel.grace, exchange).await.ok()?.ok()?;
+        if response.is_provisional {
+            // Nothing more can be read that would confirm it. A wait applies in any case.
+            self.ended.iter_mut().for_each(|end| end.wait = end.wait.or(response.wait));
+            return None;
+        }
+        // The response decides the outcomes that have not been reported.
+        self.ended.clear();
+        self.waiting.append(&mut self.ended_items);
+        Some(Ok(response))
+    }
+
+    /// Reports the final end of a provisional one, lets the connection rest, and returns it to the pool if
+    /// nothing has followed the response.
+    async fn settle(self, mut open: Connection, response: CallResponse, check_in: CheckIn) {
+        let (is_provisional, answered_at) = (response.is_provisional, Instant::now());
+        let place = check_in.begin_rest();
+        if is_provisional {
+            let within = open.history.provisional_for();
+            let settled = tokio::select! {
+                biased;
+                settled = settle(&mut open, response, false, within) => Some(settled),
+                () = place.needed() => None,
+            };
+            let ended = match &settled {
+                Some(settled) => outcomes(&self.waiting, settled, false),
+                None => self.waiting.iter().map(delivered).collect(),
+            };
+            if !open.is_open() {
+                // A call that is sent again must not overlap this one.
+                open.close().await;
+                return self.report_settled(ended).await;
+            }
+            self.report_settled(ended).await;
+        }
+        tokio::select! {
+            biased;
+            () = rest(&mut open, answered_at.elapsed()) => {}
+            () = place.needed() => {}
         }
-        result
+        drop(place);
+        check_in.put_back(Some(open).filter(Connection::is_open));
+    }
+
+    async fn report_settled(&self, ended: Vec<AttemptEnd>) {
+        let update = CallUpdate { endpoint: self.call.endpoint, ended };
+        // The channel is closed only when the process ends.
+        let _ = self.results.send(Input::AttemptSettled(update)).await;
+    }
+
+    /// Returns the ids of the messages of a batch; none for a single message.
+    fn batch_ids(&self) -> Vec<String> {
+        let items = if self.is_batch { &self.waiting[..] } else { &[] };
+        items.iter().map(|item| item.message_id.clone()).collect()
     }
 
     fn apply(&mut self, command: CallCommand, stage: Stage) {
@@ -378,7 +434,19 @@
 }
 
 fn end(item: &Item, outcome: Outcome) -> AttemptEnd {
-    AttemptEnd { id: item.id, attempt: item.attempt, outcome, finished: false, report: None, wait: None }
+    AttemptEnd {
+        id: item.id,
+        attempt: item.attempt,
+        outcome,
+        finished: false,
+        is_provisional: false,
+        report: None,
+        wait: None,
+    }
+}
+
+fn delivered(item: &Item) -> AttemptEnd {
+    AttemptEnd { finished: true, ..end(item, Outcome::Delivered) }
 }
 
 /// Returns what the end of a call says about its destination; `None` if the call was cancelled.
@@ -447,20 +515,24 @@
 }
 
 /// The endpoint's response to a call.
-struct CallResponse {
-    status: StatusCode,
+pub(crate) struct CallResponse {
+    pub(crate) status: StatusCode,
     wait: Option<Micros>,
     /// Whether the endpoint refused the call because all its slots are taken.
     no_slot: bool,
     /// Whether the endpoint closes the connection after this response.
-    closes: bool,
+    pub(crate) closes: bool,
     report: Option<LimitReport>,
     /// Results of the messages of a batch.
-    states: Option<Vec<ItemState>>,
+    pub(crate) states: Option<Vec<ItemState>>,
     /// Whether the body was read to its end, so that the connection can be used again.
-    is_complete: bool,
+    pub(crate) is_complete: bool,
     /// Whether the result of the call cannot be read. A wait or a report in the head is valid all the same.
-    is_malformed: bool,
+    pub(crate) is_malformed: bool,
+    /// Whether the response may turn out to belong to another call.
+    pub(crate) is_provisional: bool,
+    /// Hash of the status, the headers and the body: the same for a copy.
+    pub(crate) fingerprint: u64,
 }
 
 impl CallResponse {
@@ -475,9 +547,16 @@
             states: None,
             is_complete: false,
             is_malformed: false,
+            is_provisional: false,
+            fingerprint: 0,
         }
     }
 
+    /// Returns whether the call, or each message of it that the body does not exclude, was delivered.
+    pub(crate) fn is_ok(&self) -> bool {
+        self.status == StatusCode::OK
+    }
+
     /// Returns whether the endpoint has too many connections, if this is the response to the first request of
     /// one: it refuses the call without a wait and closes the connection.
     fn refuses_connection(&self) -> bool {
@@ -488,40 +567,54 @@
 
 /// Why a call has no readable response, and so whether it may have run.
 #[derive(Clone, Copy)]
-enum CallError {
+pub(crate) enum CallError {
     /// Nothing was written.
     NotWritten,
     /// No connection could be opened.
     NeverRan,
     /// The connection broke after the request was written.
     MayHaveRun,
-    /// The endpoint sent a malformed response; the call may have run.
+    /// The endpoint sent a malformed response, or it is unknown which response answers the call; the call may
+    /// have run.
     Malformed,
 }
 
+/// Sends a call and returns its response. `batch_ids` are those of the messages of a batch.
 async fn exchange(
     open: &mut Connection,
     request: Request<Full<Bytes>>,
     begin_by: Option<Instant>,
+    batch_ids: &[String],
 ) -> Result<CallResponse, CallError> {
-    let is_batch = request.uri().path() == "/hook/batch";
-    match open.send(request, begin_by).await {
+    let sent_at = Instant::now();
+    let is_batch = !batch_ids.is_empty();
+    let response = match open.send(request, begin_by).await {
         Ok(response) => read(response, is_batch).await,
         // The status line is valid regardless of what followed it.
         Err(SendError::Malformed | SendError::MayHaveArrived)
             if !is_batch && open.status() == Some(StatusCode::OK) =>
         {
-            Ok(CallResponse::status_only(StatusCode::OK))
+            CallResponse::status_only(StatusCode::OK)
         }
-        Err(SendError::Malformed) => Err(CallError::Malformed),
-        Err(SendError::NotWritten) => Err(CallError::NotWritten),
-        Err(SendError::MayHaveArrived) => Err(CallError::MayHaveRun),
-    }
+        Err(SendError::Malformed) => return Err(CallError::Malformed),
+        Err(SendError::NotWritten) => return Err(CallError::NotWritten),
+        Err(SendError::MayHaveArrived) => return Err(CallError::MayHaveRun),
+    };
+    let response = own_response(open, response, batch_ids).await?;
+    tracing::debug!(
+        connection = open.id,
+        status = %response.status,
+        provisional = response.is_provisional,
+        took = ?sent_at.elapsed(),
+        "response"
+    );
+    open.history.remember(&response, sent_at.elapsed());
+    Ok(response)
 }
 
 /// Reads a response to its end. A truncated response is malformed: the call may have run, regardless of
 /// its status. Only a 200 for a single message is valid as soon as its status line has arrived.
-async fn read(response: Response<Incoming>, is_batch: bool) -> Result<CallResponse, CallError> {
+pub(crate) async fn read(response: Response<Incoming>, is_batch: bool) -> CallResponse {
     let headers = response.headers();
     let mut result = CallResponse {
         wait: header_text(headers, "wait-ms").and_then(parse_wait),
@@ -530,7 +623,12 @@
         report: header_text(headers, "srv-load").and_then(parse_report),
         ..CallResponse::status_only(response.status())
     };
+    let mut hasher = DefaultHasher::new();
+    result.status.hash(&mut hasher);
+    headers.iter().for_each(|header| header.hash(&mut hasher));
     let body = connection::read_body(response.into_body(), MAX_RESPONSE_BYTES).await;
+    body.hash(&mut hasher);
+    result.fingerprint = hasher.finish();
     result.is_complete = body.is_some();
     if is_batch && result.status == StatusCode::OK {
         result.states = body.as_deref().and_then(parse_states);
@@ -538,7 +636,7 @@
     } else {
         result.is_malformed = !result.is_complete && result.status != StatusCode::OK;
     }
-    Ok(result)
+    result
 }
 
 /// Parses the results of a batch item by item, so that a malformed item does not hide the others.
@@ -562,8 +660,8 @@
 }
 
 #[derive(Deserialize)]
-struct ItemState {
-    id: String,
+pub(crate) struct ItemState {
+    pub(crate) id: String,
     state: String,
 }
 
@@ -591,7 +689,14 @@
         let state = states.find(|s| s.id == item.message_id).map(|s| s.state.as_str());
         let (outcome, finished) = outcome(response, state);
         // A wait applies with every outcome: it may come with messages that were all accepted.
-        AttemptEnd { finished, report: response.report, wait: response.wait, ..end(item, outcome) }
+        let is_provisional = response.is_provisional;
+        AttemptEnd {
+            finished,
+            is_provisional,
+            report: response.report,
+            wait: response.wait,
+            ..end(item, outcome)
+        }
     });
     let mut ended: Vec<AttemptEnd> = ended.collect();
     // The decision module judges a call by the last end that is reported of it: a few accepted messages must
--- a/crates/http/src/clients.rs
+++ b/crates/http/src/clients.rs
@@ -279,7 +279,7 @@
     let _ = stream.set_nodelay(true);
     let mut phase = intake.phase();
     let observer = RequestObserver { scanner: HeadScanner::default(), state: state.clone() };
-    let stream = ObservedStream { stream, observer };
+    let stream = ObservedStream::new(stream, observer);
     let service_state = state.clone();
     let service = service_fn(move |request| {
         let (intake, state) = (intake.clone(), service_state.clone());
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -1,7 +1,13 @@
 //! One outgoing HTTP/1.1 connection. It carries one request at a time and never sends a request twice: a
 //! pooled HTTP client may resend, and a call that is sent again may take effect again.
+//!
+//! Requests and responses are matched by their order alone, so that a response that no request asked for, such
+//! as a second copy of an earlier one, shifts all that follow. A connection therefore keeps what comes after a
+//! response, and reads it as a further response if it is asked to ([`Connection::further_response`]).
 
 use crate::observed::{ObservedStream, StreamObserver};
+use crate::own_response::ResponseHistory;
+use crate::status_line::{NestedStatusLine, Received, StatusLineParser};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -10,14 +16,15 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
+use std::future::poll_fn;
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::{Shutdown, SocketAddr};
-use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -33,8 +40,8 @@
 /// Upper bound of the time that a cancelled call waits for a response in transit. The time to connect
 /// estimates the round trip, and a connection that was slow to open says little about it.
 const MAX_GRACE: Duration = Duration::from_millis(40);
-/// Longest part of a status line that is kept.
-const MAX_LINE_BYTES: usize = 256;
+
+type HttpConnection = http1::Connection<TokioIo<ObservedStream<ResponseObserver>>, Full<Bytes>>;
 
 /// Why a request brought no response.
 #[derive(Debug)]
@@ -50,14 +57,73 @@
 /// An open connection; dropping it closes it.
 #[derive(Debug)]
 pub(crate) struct Connection {
+    /// Number of the connection in the logs.
+    pub(crate) id: u64,
+    session: Session,
+    /// How long the connection took to open.
+    round_trip: Duration,
+    /// Responses to earlier requests.
+    pub(crate) history: ResponseHistory,
+    /// Whether a response came that no request asked for.
+    is_shifted: bool,
+}
+
+/// The HTTP client on a stream; dropping it closes the stream.
+#[derive(Debug)]
+struct Session {
     sender: SendRequest<Full<Bytes>>,
     received: watch::Sender<Received>,
     request: Arc<RequestState>,
-    /// How long the connection took to open.
-    round_trip: Duration,
+    /// What follows the last response; closed if the stream ends without more bytes.
+    surplus: oneshot::Receiver<Surplus>,
     driver: JoinHandle<()>,
 }
 
+impl Session {
+    /// Starts the HTTP client on the stream that `stream` returns for the observer.
+    async fn start(
+        stream: impl FnOnce(ResponseObserver) -> ObservedStream<ResponseObserver>,
+    ) -> io::Result<Self> {
+        let (received, _) = watch::channel(Received::Nothing);
+        let request = Arc::new(RequestState::default());
+        let observer = ResponseObserver {
+            parser: StatusLineParser::default(),
+            nested: NestedStatusLine::default(),
+            received: received.clone(),
+            request: request.clone(),
+        };
+        let mut client = http1::Builder::new();
+        let handshake = client.max_buf_size(BUFFER_BYTES).handshake(TokioIo::new(stream(observer)));
+        let (sender, connection) = handshake.await.map_err(io::Error::other)?;
+        let (send_surplus, surplus) = oneshot::channel();
+        let driver = tokio::spawn(drive(connection, request.clone(), send_surplus));
+        Ok(Session { sender, received, request, surplus, driver })
+    }
+}
+
+impl Drop for Session {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+/// Bytes that no request asked for, and the stream that they came from.
+#[derive(Debug)]
+struct Surplus {
+    stream: TcpStream,
+    bytes: Bytes,
+}
+
+/// What came on a connection after a complete response.
+pub(crate) enum Further {
+    /// Nothing.
+    Nothing,
+    /// The end of the stream, or an error.
+    End,
+    /// A further response, or bytes that are none.
+    Response(Result<Response<Incoming>, SendError>),
+}
+
 /// State of the current request on its way out.
 #[derive(Debug, Default)]
 struct RequestState {
@@ -67,6 +133,12 @@
     /// Whether the sending side is to be shut down: no further request follows.
     half_close: AtomicBool,
     half_close_requested: Notify,
+    /// Whether somebody waits for what follows the response. If not, the connection closes at once.
+    keeps_surplus: AtomicBool,
+    /// Whether the head of the response has the status line of another one in it.
+    is_head_mixed: AtomicBool,
+    /// Whether the head or the body has.
+    is_mixed: AtomicBool,
 }
 
 impl RequestState {
@@ -85,6 +157,9 @@
     /// Starts the next request, whose first byte must be written before `begin_by`.
     fn begin(&self, begin_by: Option<Instant>) {
         *self.begin_by.lock().unwrap_or_else(PoisonError::into_inner) = begin_by;
+        self.keeps_surplus.store(true, Ordering::Relaxed);
+        self.is_head_mixed.store(false, Ordering::Relaxed);
+        self.is_mixed.store(false, Ordering::Relaxed);
         self.set(RequestState::PENDING);
     }
 
@@ -117,55 +192,68 @@
 impl Connection {
     /// Opens a connection within `limit`.
     pub(crate) async fn open(to: SocketAddr, limit: Duration) -> io::Result<Self> {
-        let (received, _) = watch::channel(Received::Nothing);
-        let request = Arc::new(RequestState::default());
+        static NEXT_ID: AtomicU64 = AtomicU64::new(0);
         let opening = async {
             let stream = TcpStream::connect(to).await?;
             stream.set_nodelay(true)?;
-            let observer = ResponseObserver {
-                parser: StatusLineParser::default(),
-                received: received.clone(),
-                request: request.clone(),
-            };
-            let stream = ObservedStream { stream, observer };
-            let mut client = http1::Builder::new();
-            client.max_buf_size(BUFFER_BYTES).handshake(TokioIo::new(stream)).await.map_err(io::Error::other)
+            Session::start(|observer| ObservedStream::new(stream, observer)).await
         };
         let since = Instant::now();
-        let (sender, mut connection) =
-            timeout(limit, opening).await.map_err(|_| io::ErrorKind::TimedOut)??;
-        let round_trip = since.elapsed();
-        let state = request.clone();
-        let driver = tokio::spawn(async move {
-            // An error of the connection shows in the outcome of the request that it carried.
-            tokio::select! {
-                biased;
-                _ = &mut connection => return,
-                // The next read performs the half-close ([`ResponseObserver::before_read`]).
-                () = state.half_close_requested.notified() => {}
-            }
-            let _ = connection.await;
-        });
-        Ok(Connection { sender, received, request, round_trip, driver })
+        let session = timeout(limit, opening).await.map_err(|_| io::ErrorKind::TimedOut)??;
+        let id = NEXT_ID.fetch_add(1, Ordering::Relaxed);
+        let history = ResponseHistory::default();
+        Ok(Connection { id, session, round_trip: since.elapsed(), history, is_shifted: false })
+    }
+
+    /// Waits for up to `within` for what follows the last response, and reads it as a further one. Unless
+    /// nothing comes, the connection can carry no other request.
+    pub(crate) async fn further_response(&mut self, within: Duration) -> Further {
+        let Surplus { stream, bytes } = match timeout(within, &mut self.session.surplus).await {
+            Err(_) => return Further::Nothing,
+            Ok(Err(_)) => return Further::End,
+            Ok(Ok(surplus)) => surplus,
+        };
+        let replay = |observer| ObservedStream::replayed(stream, observer, bytes);
+        let Ok(session) = Session::start(replay).await else { return Further::End };
+        self.session = session;
+        self.is_shifted = true;
+        // The parser reads a response only after a request, which the stream discards.
+        Further::Response(self.send(Request::new(Full::default()), None).await)
+    }
+
+    /// Returns whether the head of the last response has the status line of another one in it.
+    pub(crate) fn is_head_mixed(&self) -> bool {
+        self.session.request.is_head_mixed.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether the head or the body of the last response, as far as it came, has the status line of
+    /// another one in it.
+    pub(crate) fn is_mixed(&self) -> bool {
+        self.session.request.is_mixed.load(Ordering::Relaxed)
+    }
+
+    /// From now on the connection closes as soon as bytes arrive that no request asked for.
+    pub(crate) fn discard_surplus(&self) {
+        self.session.request.keeps_surplus.store(false, Ordering::Relaxed);
     }
 
     /// Returns a handle that cancels the next request on this connection.
     pub(crate) fn cancel_handle(&self) -> CancelHandle {
         let grace = (self.round_trip * GRACE_ROUND_TRIPS + GRACE_PROCESSING).min(MAX_GRACE);
-        CancelHandle { request: self.request.clone(), grace }
+        CancelHandle { request: self.session.request.clone(), grace }
     }
 
     /// Returns false once the driver has noticed that the peer has closed the connection or sent unsolicited
     /// bytes. What the driver has not noticed yet is found before the first byte of a request is written
     /// ([`ResponseObserver::before_write`]).
     pub(crate) fn is_open(&self) -> bool {
-        !self.sender.is_closed()
+        !self.is_shifted && !self.session.sender.is_closed()
     }
 
     /// Returns the status in the status line of the last response, even if the rest of its head cannot be
     /// parsed.
     pub(crate) fn status(&self) -> Option<StatusCode> {
-        match *self.received.borrow() {
+        match *self.session.received.borrow() {
             Received::Status(status) => Some(status),
             Received::Nothing | Received::Started => None,
         }
@@ -181,21 +269,21 @@
         request: Request<Full<Bytes>>,
         begin_by: Option<Instant>,
     ) -> Result<Response<Incoming>, SendError> {
-        if self.sender.ready().await.is_err() {
+        if self.session.sender.ready().await.is_err() {
             return Err(SendError::NotWritten);
         }
-        self.received.send_replace(Received::Nothing);
-        self.request.begin(begin_by);
-        let mut received = self.received.subscribe();
+        self.session.received.send_replace(Received::Nothing);
+        self.session.request.begin(begin_by);
+        let mut received = self.session.received.subscribe();
         let response = tokio::select! {
             biased;
-            response = self.sender.try_send_request(request) => response,
+            response = self.session.sender.try_send_request(request) => response,
             () = head_overdue(&mut received) => return Err(SendError::Malformed),
         };
         response.map_err(|mut e| match e.take_message() {
             Some(_) => SendError::NotWritten,
-            None if self.request.is(RequestState::REJECTED) => SendError::NotWritten,
-            None if e.error().is_parse() || *self.received.borrow() != Received::Nothing => {
+            None if self.session.request.is(RequestState::REJECTED) => SendError::NotWritten,
+            None if e.error().is_parse() || *self.session.received.borrow() != Received::Nothing => {
                 SendError::Malformed
             }
             None => SendError::MayHaveArrived,
@@ -204,14 +292,34 @@
 
     /// Closes the connection and returns once its socket is closed.
     pub(crate) async fn close(mut self) {
-        self.driver.abort();
-        let _ = (&mut self.driver).await;
+        self.session.driver.abort();
+        let _ = (&mut self.session.driver).await;
     }
 }
 
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.driver.abort();
+/// Drives a connection until it ends, and passes on what came after the last response.
+async fn drive(
+    mut connection: HttpConnection,
+    request: Arc<RequestState>,
+    surplus: oneshot::Sender<Surplus>,
+) {
+    {
+        // An error of the connection shows in the outcome of the request that it carried.
+        let mut ended = poll_fn(|cx| connection.poll_without_shutdown(cx));
+        tokio::select! {
+            biased;
+            _ = &mut ended => {}
+            () = request.half_close_requested.notified() => {
+                // The next read performs the half-close ([`ResponseObserver::before_read`]).
+                let _ = ended.await;
+            }
+        }
+    }
+    let parts = connection.into_parts();
+    if !parts.read_buf.is_empty() && request.keeps_surplus.load(Ordering::Relaxed) {
+        let stream = parts.io.into_inner().stream;
+        // Without a receiver the stream is closed here.
+        let _ = surplus.send(Surplus { stream, bytes: parts.read_buf });
     }
 }
 
@@ -222,73 +330,11 @@
     sleep(RESPONSE_TIMEOUT).await;
 }
 
-/// What a connection has received of a response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Received {
-    /// No bytes, or only complete interim responses.
-    Nothing,
-    /// Bytes, but no status line of a final response yet.
-    Started,
-    /// The status line, with this status.
-    Status(StatusCode),
-}
-
-/// Finds the status line of the final response, skipping interim (1xx) responses.
-#[derive(Default)]
-struct StatusLineParser {
-    line: Vec<u8>,
-    /// Whether the current line belongs to the head of an interim response.
-    in_interim: bool,
-    /// Whether the received bytes are not an HTTP response.
-    is_malformed: bool,
-}
-
-impl StatusLineParser {
-    fn read(&mut self, bytes: &[u8]) -> Received {
-        for &byte in bytes {
-            if byte != b'\n' {
-                // The start of a longer line is enough, and a line without an end must not exhaust the
-                // memory.
-                if self.line.len() < MAX_LINE_BYTES {
-                    self.line.push(byte);
-                }
-                continue;
-            }
-            let line = std::mem::take(&mut self.line);
-            let line = line.strip_suffix(b"\r").unwrap_or(&line);
-            if line.is_empty() {
-                self.in_interim = false;
-            } else if !self.in_interim && !self.is_malformed {
-                match parse_status_line(line) {
-                    Some(status) if status.is_informational() => self.in_interim = true,
-                    Some(status) => {
-                        *self = StatusLineParser::default();
-                        return Received::Status(status);
-                    }
-                    None => self.is_malformed = true,
-                }
-            }
-        }
-        // After a complete interim response the endpoint may take its time again.
-        if self.line.is_empty() && !self.in_interim && !self.is_malformed {
-            Received::Nothing
-        } else {
-            Received::Started
-        }
-    }
-}
-
-/// Returns the status in a response's status line.
-fn parse_status_line(line: &[u8]) -> Option<StatusCode> {
-    let rest = line.strip_prefix(b"HTTP/1.1 ").or_else(|| line.strip_prefix(b"HTTP/1.0 "))?;
-    let (code, reason) = rest.split_at_checked(3)?;
-    StatusCode::from_bytes(code).ok().filter(|_| matches!(reason.first(), None | Some(b' ')))
-}
-
 /// Records the status of each response: when the rest of a head cannot be parsed, the parser reports only an
 /// error, but the status line is still valid.
 struct ResponseObserver {
     parser: StatusLineParser,
+    nested: NestedStatusLine,
     received: watch::Sender<Received>,
     request: Arc<RequestState>,
 }
@@ -296,14 +342,20 @@
 impl StreamObserver for ResponseObserver {
     fn received(&mut self, bytes: &[u8]) {
         let before = *self.received.borrow();
-        if matches!(before, Received::Status(_)) {
-            return;
-        }
         if before == Received::Nothing {
             self.parser = StatusLineParser::default();
+            self.nested = NestedStatusLine::default();
+        }
+        if matches!(before, Received::Status(_)) {
+            self.nested.scan(bytes);
+        } else {
+            let after = self.parser.read(bytes, &mut self.nested);
+            self.received.send_if_modified(|received| std::mem::replace(received, after) != after);
+        }
+        if self.nested.in_head || self.nested.in_body {
+            self.request.is_head_mixed.store(self.nested.in_head, Ordering::Relaxed);
+            self.request.is_mixed.store(true, Ordering::Relaxed);
         }
-        let after = self.parser.read(bytes);
-        self.received.send_if_modified(|received| std::mem::replace(received, after) != after);
     }
 
     fn before_read(&mut self, stream: &TcpStream) {
--- a/crates/http/src/idle.rs
+++ b/crates/http/src/idle.rs
@@ -1,9 +1,10 @@
 //! Idle connections to endpoints, and how the task of a call returns its connection.
 
 use crate::connection::Connection;
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::Notify;
 use tokio::time::Instant;
 use yarrowhill_policy::api::EndpointId;
 
@@ -15,7 +16,9 @@
     pub(crate) idle: usize,
     /// Number of connections that are being opened although no call waits for them.
     pub(crate) opening: usize,
-    /// Upper bound of `idle` and `opening` together.
+    /// Connections that rest after a call, the longest first.
+    pub(crate) resting: VecDeque<Arc<Notify>>,
+    /// Upper bound of `idle`, `opening` and `resting` together.
     pub(crate) max_idle: usize,
 }
 
@@ -27,9 +30,25 @@
 }
 
 impl CheckIn {
+    /// Reserves a place for a connection that rests. If there is no room, the longest idle connection is
+    /// closed; if there is none, the connection that rests the longest ends its rest.
+    pub(crate) fn begin_rest(&self) -> RestingPlace {
+        let mut state = lock(&self.state);
+        if state.is_full()
+            && !state.close_longest_idle()
+            && let Some(longest) = state.resting.front()
+        {
+            longest.notify_one();
+        }
+        let needed = Arc::new(Notify::new());
+        state.resting.push_back(needed.clone());
+        RestingPlace { state: self.state.clone(), needed }
+    }
+
     /// Keeps a connection for a later call, or closes it.
     pub(crate) fn put_back(self, connection: Option<Connection>) {
         if let Some(connection) = connection {
+            connection.discard_surplus();
             lock(&self.state).put_idle(self.endpoint, self.address, connection);
         }
     }
@@ -42,7 +61,7 @@
     ) {
         {
             let mut state = lock(&self.state);
-            if state.idle + state.opening >= state.max_idle {
+            if state.is_full() {
                 return;
             }
             state.opening += 1;
@@ -55,6 +74,25 @@
     }
 }
 
+/// Place of a connection that rests after a call; dropping it frees the place.
+pub(crate) struct RestingPlace {
+    state: Arc<Mutex<PoolState>>,
+    needed: Arc<Notify>,
+}
+
+impl RestingPlace {
+    /// Returns when another connection needs the place.
+    pub(crate) async fn needed(&self) {
+        self.needed.notified().await;
+    }
+}
+
+impl Drop for RestingPlace {
+    fn drop(&mut self) {
+        lock(&self.state).resting.retain(|needed| !Arc::ptr_eq(needed, &self.needed));
+    }
+}
+
 /// Idle connections to one endpoint, with the time at which each became idle.
 #[derive(Debug)]
 pub(crate) struct IdleConnections {
@@ -69,6 +107,19 @@
 }
 
 impl PoolState {
+    fn is_full(&self) -> bool {
+        self.idle + self.opening + self.resting.len() >= self.max_idle
+    }
+
+    /// Closes the connection that has been idle for the longest time. Returns false if none is idle.
+    fn close_longest_idle(&mut self) -> bool {
+        let with_idle = self.endpoints.values_mut().filter(|idle| !idle.connections.is_empty());
+        let Some(longest) = with_idle.min_by_key(|idle| idle.connections[0].0) else { return false };
+        longest.connections.remove(0);
+        self.idle -= 1;
+        true
+    }
+
     /// Takes the connection to an endpoint that was used last, if the endpoint still has this address.
     pub(crate) fn take_idle(&mut self, endpoint: EndpointId, address: SocketAddr) -> Option<Connection> {
         let idle = self.endpoints.get_mut(&endpoint).filter(|idle| idle.address == address)?;
@@ -80,7 +131,7 @@
     /// Keeps a connection, unless its endpoint has changed its address or been removed since, or the pool is
     /// full.
     pub(crate) fn put_idle(&mut self, endpoint: EndpointId, address: SocketAddr, connection: Connection) {
-        if self.idle + self.opening < self.max_idle
+        if !self.is_full()
             && let Some(idle) = self.endpoints.get_mut(&endpoint).filter(|idle| idle.address == address)
         {
             idle.connections.push((Instant::now(), connection));
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -5,8 +5,10 @@
 //! - `clients`: accepts client connections, evicts idle ones when room runs short, and closes each
 //! - `head_scanner`: detects request heads with ambiguous body framing
 //! - `observed`: a TCP stream whose bytes an observer sees before the HTTP parser does
-//! - `connection`: one outgoing connection that never resends a request
-//! - `calls`, `pool`: calls and their outcomes; the engine's transport
+//! - `connection`: one outgoing connection that never resends a request; `status_line`: the part of a response
+//!   that counts by itself
+//! - `calls`, `pool`: calls and their outcomes; the engine's transport; `own_response`: which response answers
+//!   a call
 //! - `discovery`, `notices`: requests to the platform; `schedule`: when to request the endpoint list
 //!
 //! All input is bounded: the sizes of heads, bodies, responses and lists, and the time that each may take.
@@ -22,8 +24,10 @@
 mod log_limit;
 pub mod notices;
 mod observed;
+mod own_response;
 mod pool;
 mod schedule;
+mod status_line;
 
 pub use clients::serve;
 pub use intake::Intake;
--- a/crates/http/src/observed.rs
+++ b/crates/http/src/observed.rs
@@ -1,8 +1,9 @@
 //! A TCP stream whose incoming bytes an observer sees before the HTTP parser does.
 
+use bytes::{Buf, Bytes};
 use std::io;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, Waker};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -34,6 +35,38 @@
 pub(crate) struct ObservedStream<O> {
     pub(crate) stream: TcpStream,
     pub(crate) observer: O,
+    replay: Option<Replay>,
+}
+
+/// State of a stream whose incoming bytes are parsed without a request that asked for them.
+struct Replay {
+    /// Bytes that were read from the stream before.
+    unread: Bytes,
+    /// Whether the parser has written its request, which is discarded. Until then nothing is read: bytes that
+    /// precede a request are an error to the parser.
+    has_request: bool,
+    /// Reader that waits for the request.
+    reader: Option<Waker>,
+}
+
+impl Replay {
+    /// Discards a write, and lets the reader continue.
+    fn discard(&mut self) {
+        self.has_request = true;
+        self.reader.take().into_iter().for_each(Waker::wake);
+    }
+}
+
+impl<O> ObservedStream<O> {
+    pub(crate) fn new(stream: TcpStream, observer: O) -> Self {
+        ObservedStream { stream, observer, replay: None }
+    }
+
+    /// Continues a stream of which `unread` has been read already. Nothing is written to it any more.
+    pub(crate) fn replayed(stream: TcpStream, observer: O, unread: Bytes) -> Self {
+        let replay = Replay { unread, has_request: false, reader: None };
+        ObservedStream { stream, observer, replay: Some(replay) }
+    }
 }
 
 impl<O: StreamObserver> AsyncRead for ObservedStream<O> {
@@ -43,7 +76,19 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        let ObservedStream { stream, observer } = &mut *self;
+        let ObservedStream { stream, observer, replay } = &mut *self;
+        if let Some(replay) = replay {
+            if !replay.has_request {
+                replay.reader = Some(cx.waker().clone());
+                return Poll::Pending;
+            }
+            let unread = replay.unread.split_to(replay.unread.len().min(buf.remaining()));
+            if unread.has_remaining() {
+                buf.put_slice(&unread);
+                observer.received(&unread);
+                return Poll::Ready(Ok(()));
+            }
+        }
         observer.before_read(stream);
         let has_room = buf.remaining() > 0;
         let poll = Pin::new(&mut self.stream).poll_read(cx, buf);
@@ -59,9 +104,13 @@
 
 impl<O: StreamObserver> AsyncWrite for ObservedStream<O> {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let ObservedStream { stream, observer } = &mut *self;
+        let ObservedStream { stream, observer, replay } = &mut *self;
+        if let Some(replay) = replay {
+            replay.discard();
+            return Poll::Ready(Ok(buf.len()));
+        }
         observer.before_write(stream)?;
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        Pin::new(stream).poll_write(cx, buf)
     }
 
     fn poll_write_vectored(
@@ -69,9 +118,13 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let ObservedStream { stream, observer } = &mut *self;
+        let ObservedStream { stream, observer, replay } = &mut *self;
+        if let Some(replay) = replay {
+            replay.discard();
+            return Poll::Ready(Ok(bufs.iter().map(|buf| buf.len()).sum()));
+        }
         observer.before_write(stream)?;
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        Pin::new(stream).poll_write_vectored(cx, bufs)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -3,7 +3,7 @@
 use crate::calls;
 use crate::gate_handle::GateHandle;
 use crate::idle::{CheckIn, IdleConnections, PoolState, lock};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -33,7 +33,8 @@
     /// Creates a pool of at most `max_idle` idle connections, each kept for a little less than the peers'
     /// idle timeout `idle_timeout`.
     pub fn new(max_idle: usize, idle_timeout: Duration) -> Self {
-        let state = PoolState { endpoints: HashMap::new(), idle: 0, opening: 0, max_idle };
+        let state =
+            PoolState { endpoints: HashMap::new(), idle: 0, opening: 0, resting: VecDeque::new(), max_idle };
         let max_idle_age = idle_timeout - idle_timeout / IDLE_MARGIN_DIVISOR;
         Pool { state: Arc::new(Mutex::new(state)), max_idle_age, gate: GateHandle::default() }
     }
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -277,6 +277,13 @@
     Submit(SubmittedMessage),
     /// An attempt ended.
     AttemptEnded(EndedAttempt),
+    /// A destination demanded a wait, other than with the end of an attempt.
+    WaitAnnounced {
+        /// Endpoint that demanded it.
+        endpoint: EndpointId,
+        /// Time during which nothing may be sent there.
+        wait: Micros,
+    },
     /// A streamed response has begun: from now on the attempt belongs to the client.
     ResponseStarted {
         /// Number of the message.
--- a/crates/policy/src/balancer/mod.rs
+++ b/crates/policy/src/balancer/mod.rs
@@ -42,6 +42,11 @@
         match event {
             Event::Submit(message) => self.submit(now, message, actions),
             Event::AttemptEnded(ended) => self.attempt_ended(now, ended, actions),
+            Event::WaitAnnounced { endpoint, wait } => {
+                if let Some(dest) = self.endpoints.get(&endpoint).map(|endpoint| endpoint.dest) {
+                    self.extend_wait(now, dest, endpoint, wait);
+                }
+            }
             Event::ResponseStarted { id } => {
                 self.messages.get_mut(&id).into_iter().for_each(|message| message.response_started = true)
             }
--- a/crates/policy/src/balancer/outcomes.rs
+++ b/crates/policy/src/balancer/outcomes.rs
@@ -65,8 +65,7 @@
         // A wait announced for one message applies to every message of the scope.
         let full_wait = if let Outcome::Full { wait } = end.outcome { wait } else { None };
         if let Some(wait) = full_wait.or(end.wait) {
-            let scope = self.scope(attempt.dest, attempt.endpoint);
-            scope.wait_until = scope.wait_until.max(now + wait);
+            self.extend_wait(now, attempt.dest, attempt.endpoint, wait);
         }
         self.call_ended(now, &attempt, &end);
         if let Some(queue) = attempt.key.as_ref().and_then(|key| self.key_queues.get_mut(key)) {
@@ -85,6 +84,12 @@
         }
     }
 
+    /// Extends the wait of a scope to at least this time from now.
+    pub(super) fn extend_wait(&mut self, now: Micros, dest: DestId, endpoint: EndpointId, wait: Micros) {
+        let scope = self.scope(dest, endpoint);
+        scope.wait_until = scope.wait_until.max(now + wait);
+    }
+
     /// Plans a further attempt, if the class and the number of attempts allow one; otherwise answers the
     /// message.
     pub(super) fn retry(
--- a/crates/yarrowhill/tests/forwarder.rs
+++ b/crates/yarrowhill/tests/forwarder.rs
@@ -15,6 +15,8 @@
 use tokio::time::timeout;
 
 const QUIET: Duration = Duration::from_millis(150);
+/// Time after which a connection to an endpoint is used again, and a little more.
+const RESTED: Duration = Duration::from_millis(700);
 
 struct Fixture {
     discovery: Discovery,
@@ -62,6 +64,7 @@
         fixture.forwarder.submit("keyed", id, 9000).await;
         fixture.target.next().await.answer_with(200, &[], "ignored");
         fixture.forwarder.wait_until_delivered("keyed", id).await;
+        tokio::time::sleep(RESTED).await;
     }
     assert_eq!(fixture.target.connections(), 1);
 }
@@ -823,6 +826,7 @@
     call.request().await;
     call.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await;
     forwarder.wait_until_delivered("unsafe", "first").await;
+    tokio::time::sleep(RESTED).await;
     forwarder.submit("unsafe", "second", 20_000).await;
     assert!(call.request().await.contains("second"));
     call.write("HTTP/1.1 200 OK\r\n\0\r\n\r\n").await;
@@ -892,6 +896,7 @@
     call.request().await;
     call.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await;
     forwarder.wait_until_delivered("unsafe", "first").await;
+    tokio::time::sleep(RESTED).await;
     forwarder.submit("unsafe", "second", 20_000).await;
     assert!(call.request().await.contains("second"));
     call.write("HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\nshort").await;
