--- a/crates/engine/src/engine/intake.rs
+++ b/crates/engine/src/engine/intake.rs
@@ -19,14 +19,13 @@
             }
             return None;
         }
+        let open_messages = self.open_messages();
         let known = match self.journal.end_of(&message_id) {
             Some((End::Delivered, _)) => Some(Answer::Delivered),
             Some((End::Failed, _)) => Some(Answer::Failed),
             Some((End::Refused, _)) => Some(Answer::Refused(None)),
             None if self.ids.contains_key(&message_id) => Some(Answer::Accepted),
-            None if !self.capacity.admits(self.messages.len() + self.provisional.len()) => {
-                Some(Answer::Refused(None))
-            }
+            None if !self.capacity.admits(open_messages) => Some(Answer::Refused(None)),
             None => None,
         };
         let class_name = self.names.classes.get(class).cloned();
