Send each batch of notices on a connection of its own

Cause: an acknowledgement names no notices, and the connection was kept, so that a copy of the 204 before was read as that of the next batch.

Evidence: the test, over loopback: the platform's 204 is copied while the next batch is out, which gets 503. Before, that batch counted as acknowledged after 2 requests in place of 3.

Change: a connection for each batch. No copy of another batch's acknowledgement can come on it.

--- a/crates/http/src/notices.rs
+++ b/crates/http/src/notices.rs
@@ -1,4 +1,7 @@
 //! Reports accepted messages that ended without delivery to the platform.
+//!
+//! An acknowledgement does not name the notices that it belongs to. Each batch is therefore sent on a connection
+//! of its own, where no copy of another's acknowledgement can arrive.
 
 use crate::connection::{self, Connection};
 use crate::log_limit::LogLimit;
@@ -28,16 +31,13 @@
     mut batches: Receiver<Vec<Notice>>,
     engine: Sender<Input>,
 ) {
-    let (mut connection, mut warnings) = (None, LogLimit::default());
+    let mut warnings = LogLimit::default();
     while let Some(batch) = batches.recv().await {
         loop {
-            if address.has_changed().unwrap_or(false) {
-                connection = None;
-            }
             let to = *address.borrow_and_update();
             tokio::select! {
                 biased;
-                sent = send_batch(to, &batch, &mut connection) => match sent {
+                sent = send_batch(to, &batch) => match sent {
                     Ok(()) => break,
                     Err(failure) => {
                         if warnings.allows() {
@@ -48,7 +48,6 @@
                 },
                 Ok(()) = address.changed() => {}
             }
-            connection = None;
         }
         if engine.send(Input::NoticesAcknowledged(batch)).await.is_err() {
             return;
@@ -70,21 +69,13 @@
 }
 
 /// Sends a batch once. Succeeds if the platform acknowledged it.
-async fn send_batch(
-    to: SocketAddr,
-    batch: &[Notice],
-    idle: &mut Option<Connection>,
-) -> Result<(), NoticeError> {
+async fn send_batch(to: SocketAddr, batch: &[Notice]) -> Result<(), NoticeError> {
     let lines: Vec<String> = batch.iter().filter_map(|n| serde_json::to_string(n).ok()).collect();
     let mut request = Request::new(Full::new(Bytes::from(lines.join("\n") + "\n")));
     *request.method_mut() = Method::POST;
     *request.uri_mut() = hyper::Uri::from_static("/v1/notices");
     connection::set_host(&mut request, to);
-    let connection = match idle.take().filter(Connection::is_open) {
-        Some(open) => open,
-        None => Connection::open(to, CONNECT_TIMEOUT).await.map_err(NoticeError::Connect)?,
-    };
-    let connection = idle.insert(connection);
+    let mut connection = Connection::open(to, CONNECT_TIMEOUT).await.map_err(NoticeError::Connect)?;
     let exchange = async {
         let response = connection.send(request, None).await.ok()?;
         let status = response.status();
