Do not apply a copy of an earlier endpoint list

Cause: the watch keeps its connection, and read whatever came next as the answer to its request: lists 5, 6, 5, 7, 8 were applied in this order in the test, where the answer with list 5 is copied.

Change: on a connection that has carried an answer, a list older than the one asked for is not applied; the watch continues on a new connection, on which an older list is believed (a discovery that lost versions).

--- a/crates/http/src/discovery.rs
+++ b/crates/http/src/discovery.rs
@@ -32,15 +32,18 @@
     Status(StatusCode),
     #[error("malformed endpoint list: {0}")]
     Malformed(#[from] serde_json::Error),
+    #[error("list {0} is older than the one requested: a copy of an earlier response")]
+    Copy(u64),
 }
 
 impl WatchError {
     /// Classifies the error by what it says about the requested version.
     fn kind(&self) -> FailureKind {
         match self {
-            WatchError::Connect(_) | WatchError::TimedOut(_) | WatchError::ConnectionLost => {
-                FailureKind::Unavailable
-            }
+            WatchError::Connect(_)
+            | WatchError::TimedOut(_)
+            | WatchError::ConnectionLost
+            | WatchError::Copy(_) => FailureKind::Unavailable,
             WatchError::Status(status)
                 if status.is_server_error() || *status == StatusCode::TOO_MANY_REQUESTS =>
             {
@@ -120,10 +123,12 @@
         Some(version) => format!("/api/targets?index={version}&wait={}", request.wait.as_millis()),
         None => "/api/targets".to_owned(),
     };
-    if !idle.as_ref().is_some_and(Connection::is_open) {
+    let is_reused = idle.as_ref().is_some_and(Connection::is_open);
+    if !is_reused {
         *idle = Some(Connection::open(to, CONNECT_TIMEOUT).await?);
     }
     let connection = idle.as_mut().ok_or(WatchError::ConnectionLost)?;
+    let known_version = request.version;
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = path.parse().map_err(|_| WatchError::ConnectionLost)?;
     connection::set_host(&mut request, to);
@@ -134,5 +139,10 @@
             .ok_or(WatchError::ConnectionLost)?,
         status => return Err(WatchError::Status(status)),
     };
-    Ok(serde_json::from_slice(&text)?)
+    let list: EndpointList = serde_json::from_slice(&text)?;
+    // A discovery that has lost versions is believed on a new connection.
+    if is_reused && known_version.is_some_and(|known| list.version < known) {
+        return Err(WatchError::Copy(list.version));
+    }
+    Ok(list)
 }
