Report the wait of a response that is held back when it comes

Cause: a refusal with the contents of an earlier one is held back until it is known to be the call's own, and its wait with it. Other calls to the destination were sent meanwhile. The same held for a wait in a further response that could not be told from a copy.

Ruled out: the destination's other endpoints (the wait goes through the same function as before).

Change: the wait is reported to the engine when its response arrives, and the end of the call brings only what is left of it.

--- a/crates/engine/src/engine/mod.rs
+++ b/crates/engine/src/engine/mod.rs
@@ -311,6 +311,7 @@
             match input {
                 Input::Submission(message) => submitted.extend(self.receive(now, message)),
                 Input::CallUpdate(update) => self.call_update(now, update),
+                Input::WaitAnnounced { endpoint, wait } => self.wait_announced(now, endpoint, wait),
                 Input::AttemptSettled(update) => self.attempts_settled(now, update),
                 Input::List(list) => {
                     self.discovery_deadline = None;
--- a/crates/engine/src/engine/provisional.rs
+++ b/crates/engine/src/engine/provisional.rs
@@ -90,7 +90,7 @@
     }
 
     /// Applies a wait that the decision module is not told with the end of an attempt.
-    fn wait_announced(&mut self, now: Micros, endpoint: EndpointId, wait: Micros) {
+    pub(super) fn wait_announced(&mut self, now: Micros, endpoint: EndpointId, wait: Micros) {
         self.defer_calls_to_destination(endpoint);
         self.balancer.on_event(now, Event::WaitAnnounced { endpoint, wait }, &mut self.actions);
     }
--- a/crates/engine/src/input.rs
+++ b/crates/engine/src/input.rs
@@ -3,6 +3,7 @@
 use crate::call::CallUpdate;
 use crate::list::EndpointList;
 use crate::message::{Notice, Submission};
+use yarrowhill_policy::api::{EndpointId, Micros};
 
 /// An input of the engine.
 #[derive(Debug)]
@@ -13,6 +14,13 @@
     CallUpdate(CallUpdate),
     /// The final ends of attempts whose ends were provisional.
     AttemptSettled(CallUpdate),
+    /// A destination demanded a wait in a response that is not reported yet.
+    WaitAnnounced {
+        /// Endpoint that was called.
+        endpoint: EndpointId,
+        /// Time during which nothing may be sent to the destination.
+        wait: Micros,
+    },
     /// Discovery sent the endpoint list, or changes to it.
     List(EndpointList),
     /// The platform has acknowledged these notices.
--- a/crates/http/src/calls.rs
+++ b/crates/http/src/calls.rs
@@ -3,7 +3,7 @@
 use crate::connection::{self, CancelHandle, Connection, SendError};
 use crate::gate_handle::GateHandle;
 use crate::idle::CheckIn;
-use crate::own_response::{own_response, rest, settle};
+use crate::own_response::{WaitReports, own_response, rest, settle};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
@@ -133,9 +133,10 @@
         pending.cancel_after = Instant::now() + MIN_CANCEL_AGE;
         let begin_by = pending.waiting.iter().map(|i| Stage::Connecting.deadline(i)).min();
         let batch_ids = pending.batch_ids();
+        let waits = pending.wait_reports();
         let cancel = open.cancel_handle();
         let (result, is_cancelled) = {
-            let mut exchange = pin!(exchange(open, request, begin_by, &batch_ids));
+            let mut exchange = pin!(exchange(open, request, begin_by, &batch_ids, &waits));
             match pending.wait_for(exchange.as_mut(), Stage::Written).await {
                 Some(result) => (Some(result), false),
                 None => (pending.cancel_exchange(exchange, &cancel).await, true),
@@ -291,10 +292,10 @@
         let (is_provisional, answered_at) = (response.is_provisional, Instant::now());
         let place = check_in.begin_rest();
         if is_provisional {
-            let within = open.history.provisional_for();
+            let (within, waits) = (open.history.provisional_for(), self.wait_reports());
             let settled = tokio::select! {
                 biased;
-                settled = settle(&mut open, response, false, within) => Some(settled),
+                settled = settle(&mut open, response, false, within, &waits) => Some(settled),
                 () = place.needed() => None,
             };
             let ended = match &settled {
@@ -317,6 +318,10 @@
         check_in.put_back(Some(open).filter(Connection::is_open));
     }
 
+    fn wait_reports(&self) -> WaitReports {
+        WaitReports { endpoint: self.call.endpoint, results: self.results.clone() }
+    }
+
     async fn report_settled(&self, ended: Vec<AttemptEnd>) {
         let update = CallUpdate { endpoint: self.call.endpoint, ended };
         // The channel is closed only when the process ends.
@@ -517,7 +522,7 @@
 /// The endpoint's response to a call.
 pub(crate) struct CallResponse {
     pub(crate) status: StatusCode,
-    wait: Option<Micros>,
+    pub(crate) wait: Option<Micros>,
     /// Whether the endpoint refused the call because all its slots are taken.
     no_slot: bool,
     /// Whether the endpoint closes the connection after this response.
@@ -585,6 +590,7 @@
     request: Request<Full<Bytes>>,
     begin_by: Option<Instant>,
     batch_ids: &[String],
+    waits: &WaitReports,
 ) -> Result<CallResponse, CallError> {
     let sent_at = Instant::now();
     let is_batch = !batch_ids.is_empty();
@@ -600,7 +606,7 @@
         Err(SendError::NotWritten) => return Err(CallError::NotWritten),
         Err(SendError::MayHaveArrived) => return Err(CallError::MayHaveRun),
     };
-    let response = own_response(open, response, batch_ids).await?;
+    let response = own_response(open, response, batch_ids, waits).await?;
     tracing::debug!(
         connection = open.id,
         status = %response.status,
--- a/crates/http/src/own_response.rs
+++ b/crates/http/src/own_response.rs
@@ -11,6 +11,10 @@
 use crate::connection::{Connection, Further};
 use std::collections::VecDeque;
 use std::time::Duration;
+use tokio::sync::mpsc::Sender;
+use tokio::time::Instant;
+use yarrowhill_engine::Input;
+use yarrowhill_policy::api::{EndpointId, Micros};
 
 /// Minimum time after a response during which its connection carries no other call.
 const MIN_REST: Duration = Duration::from_millis(500);
@@ -63,6 +67,19 @@
     }
 }
 
+/// Reports the wait of a response that is held back: it binds from the time at which it was written.
+pub(crate) struct WaitReports {
+    pub(crate) endpoint: EndpointId,
+    pub(crate) results: Sender<Input>,
+}
+
+impl WaitReports {
+    async fn report(&self, wait: Micros) {
+        // The channel is closed only when the process ends.
+        let _ = self.results.send(Input::WaitAnnounced { endpoint: self.endpoint, wait }).await;
+    }
+}
+
 /// Returns the response to a call, given the first response that came after its request. `ids` are those of the
 /// messages of a batch, and empty for a single message.
 ///
@@ -73,6 +90,7 @@
     connection: &mut Connection,
     mut response: CallResponse,
     ids: &[String],
+    waits: &WaitReports,
 ) -> Result<CallResponse, CallError> {
     if connection.history.is_empty() {
         return Ok(response);
@@ -90,8 +108,15 @@
         response.is_malformed |= connection.is_head_mixed() || !response.is_complete && connection.is_mixed();
         response.is_provisional = response.is_complete && !response.is_malformed;
     } else if !response.is_ok() && connection.history.contains(&response) {
-        let within = connection.history.provisional_for();
-        return settle(connection, response, !ids.is_empty(), within).await;
+        if let Some(wait) = response.wait {
+            waits.report(wait).await;
+        }
+        let (within, since) = (connection.history.provisional_for(), Instant::now());
+        let mut response = settle(connection, response, !ids.is_empty(), within, waits).await?;
+        // What is left of a wait that was reported when it came.
+        let elapsed = since.elapsed().as_micros() as Micros;
+        response.wait = response.wait.map(|wait| (wait - elapsed).max(1));
+        return Ok(response);
     }
     Ok(response)
 }
@@ -114,6 +139,7 @@
     response: CallResponse,
     is_batch: bool,
     within: Duration,
+    waits: &WaitReports,
 ) -> Result<CallResponse, CallError> {
     for _ in 0..MAX_FURTHER {
         let further = match connection.further_response(within).await {
@@ -130,6 +156,9 @@
             malformed = further.is_malformed,
             "further response"
         );
+        if let Some(wait) = further.wait {
+            waits.report(wait).await;
+        }
         let is_equivalent =
             further.fingerprint == response.fingerprint || further.is_ok() && response.is_ok();
         if further.is_malformed || !further.is_complete {
--- a/crates/http/tests/calls.rs
+++ b/crates/http/tests/calls.rs
@@ -580,3 +580,33 @@
     let batch = [(0, Outcome::Delivered), (1, Outcome::Full { wait: None })];
     assert_eq!(outcomes, [&[(0, Outcome::Delivered)], &batch[..]].concat());
 }
+
+/// Guards against calls within a wait: a refusal that may be a copy was held back together with its wait, in
+/// which other calls were sent (found on day herd+brink+mass-6 of seed 140321).
+#[tokio::test]
+async fn the_wait_of_a_refusal_that_is_held_back_applies_at_once() {
+    const WAIT: &str = "HTTP/1.1 429 Busy\r\nWait-Ms: 900\r\nContent-Length: 0\r\n\r\n";
+    const REPLIES: &[&[(Duration, &str)]] = &[&[(Duration::ZERO, WAIT)], &[(Duration::ZERO, WAIT)]];
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("port is free");
+    let to = listener.local_addr().expect("listener is bound");
+    let mut pool = Pool::new(4, Duration::from_secs(5));
+    pool.set_endpoint_address(1, Some(to));
+    let (inputs, mut updates) = mpsc::channel(8);
+    tokio::spawn(async move {
+        let (stream, _) = listener.accept().await.expect("call connects");
+        serve_pieces(stream, REPLIES).await;
+    });
+    let deadline = Instant::now() + STEP * 20;
+    let (_sender, commands) = mpsc::channel(2);
+    pool.start_call(call(to, vec![item(1, deadline, deadline)], commands), inputs.clone());
+    next_update(&mut updates).await;
+    tokio::time::sleep(RESTED).await;
+    let (_sender, commands) = mpsc::channel(2);
+    pool.start_call(call(to, vec![item(2, deadline, deadline)], commands), inputs);
+    let first = timeout(STEP, updates.recv()).await.expect("the wait is reported at once");
+    assert!(matches!(first, Some(Input::WaitAnnounced { endpoint: 1, wait: 900_000 })), "{first:?}");
+    let update = next_update(&mut updates).await;
+    // The end of the call does not extend the wait.
+    let wait = update.ended[0].wait.expect("the refusal has a wait");
+    assert!((1..900_000 - 200_000).contains(&wait), "{wait}");
+}
