End the wait for a further response that begins with an interim one alone

Cause: what follows a response is read until a final response comes; the time limit of a head begins with its first byte, and an interim response resets it.

Evidence: what_follows_a_provisional_delivery_decides_it plays six orders of bytes behind a provisional 200; without the change the one with 102 does not end in 1.5 s, the others pass. Measured: all six pass.

--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -217,8 +217,10 @@
         let Ok(session) = Session::start(replay).await else { return Further::End };
         self.session = session;
         self.is_shifted = true;
-        // The parser reads a response only after a request, which the stream discards.
-        Further::Response(self.send(Request::new(Full::default()), None).await)
+        // The parser reads a response only after a request, which the stream discards. An interim response alone
+        // does not end the wait.
+        let response = timeout(RESPONSE_TIMEOUT, self.send(Request::new(Full::default()), None)).await;
+        Further::Response(response.unwrap_or(Err(SendError::Malformed)))
     }
 
     /// Returns whether the head of the last response has the status line of another one in it.
--- a/crates/http/tests/calls.rs
+++ b/crates/http/tests/calls.rs
@@ -503,7 +503,7 @@
 
 /// Serves one connection: reads as many calls as there are replies, and writes the pieces of each reply, with
 /// a delay before each.
-async fn serve_pieces(mut stream: TcpStream, replies: &[&[(Duration, &str)]]) {
+async fn serve_pieces(mut stream: TcpStream, replies: Replies) {
     for pieces in replies {
         let mut text = Vec::new();
         while !text.ends_with(b"body") && !text.ends_with(b"]") {
@@ -518,26 +518,35 @@
     std::future::pending::<()>().await;
 }
 
+/// The pieces of each reply of an endpoint, with a delay before each.
+type Replies = &'static [&'static [(Duration, &'static str)]];
+
 /// Time for which a connection rests after a call, and a little more.
 const RESTED: Duration = Duration::from_millis(700);
 const DELIVERED: &str = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 const REFUSED: &str = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
 
-/// Makes calls with these numbers of messages on one connection, which rests between them. Returns the
-/// outcomes.
-async fn calls_on_one_connection(
-    calls: &[u64],
-    replies: &'static [&'static [(Duration, &'static str)]],
-) -> Vec<(u64, Outcome)> {
+/// Starts an endpoint that serves one connection with these replies. Returns a pool that knows it, its address,
+/// and the channel of the updates.
+async fn pool_with_endpoint(
+    replies: Replies,
+) -> (Pool, SocketAddr, mpsc::Sender<Input>, mpsc::Receiver<Input>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("port is free");
     let to = listener.local_addr().expect("listener is bound");
     let mut pool = Pool::new(4, Duration::from_secs(5));
     pool.set_endpoint_address(1, Some(to));
-    let (inputs, mut updates) = mpsc::channel(8);
+    let (inputs, updates) = mpsc::channel(8);
     tokio::spawn(async move {
         let (stream, _) = listener.accept().await.expect("call connects");
         serve_pieces(stream, replies).await;
     });
+    (pool, to, inputs, updates)
+}
+
+/// Makes calls with these numbers of messages on one connection, which rests between them. Returns the
+/// outcomes.
+async fn calls_on_one_connection(calls: &[u64], replies: Replies) -> Vec<(u64, Outcome)> {
+    let (mut pool, to, inputs, mut updates) = pool_with_endpoint(replies).await;
     let mut outcomes = Vec::new();
     for items in calls {
         let (_sender, commands) = mpsc::channel(4);
@@ -554,7 +563,7 @@
 /// next call is out, had that call's message sent again although it ran.
 #[tokio::test]
 async fn a_copy_of_a_refusal_is_not_taken_for_the_response_to_the_next_call() {
-    const REPLIES: &[&[(Duration, &str)]] =
+    const REPLIES: Replies =
         &[&[(Duration::ZERO, REFUSED)], &[(Duration::from_millis(50), REFUSED), (STEP, DELIVERED)]];
     let outcomes = calls_on_one_connection(&[1, 1], REPLIES).await;
     assert_eq!(outcomes, [(0, Outcome::Full { wait: None }), (0, Outcome::Delivered)]);
@@ -564,7 +573,7 @@
 /// left unknown whether its messages had run.
 #[tokio::test]
 async fn a_batch_waits_for_the_response_that_names_its_messages() {
-    const REPLIES: &[&[(Duration, &str)]] = &[
+    const REPLIES: Replies = &[
         &[(Duration::ZERO, DELIVERED)],
         &[
             (Duration::from_millis(50), DELIVERED),
@@ -586,16 +595,8 @@
 #[tokio::test]
 async fn the_wait_of_a_refusal_that_is_held_back_applies_at_once() {
     const WAIT: &str = "HTTP/1.1 429 Busy\r\nWait-Ms: 900\r\nContent-Length: 0\r\n\r\n";
-    const REPLIES: &[&[(Duration, &str)]] = &[&[(Duration::ZERO, WAIT)], &[(Duration::ZERO, WAIT)]];
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("port is free");
-    let to = listener.local_addr().expect("listener is bound");
-    let mut pool = Pool::new(4, Duration::from_secs(5));
-    pool.set_endpoint_address(1, Some(to));
-    let (inputs, mut updates) = mpsc::channel(8);
-    tokio::spawn(async move {
-        let (stream, _) = listener.accept().await.expect("call connects");
-        serve_pieces(stream, REPLIES).await;
-    });
+    const REPLIES: Replies = &[&[(Duration::ZERO, WAIT)], &[(Duration::ZERO, WAIT)]];
+    let (mut pool, to, inputs, mut updates) = pool_with_endpoint(REPLIES).await;
     let deadline = Instant::now() + STEP * 20;
     let (_sender, commands) = mpsc::channel(2);
     pool.start_call(call(to, vec![item(1, deadline, deadline)], commands), inputs.clone());
@@ -610,3 +611,58 @@
     let wait = update.ended[0].wait.expect("the refusal has a wait");
     assert!((1..900_000 - 200_000).contains(&wait), "{wait}");
 }
+
+/// Guards against lost messages, and against ends that never come: whatever follows a delivery that may be a copy
+/// decides it in time, also bytes that are no complete response.
+#[tokio::test]
+async fn what_follows_a_provisional_delivery_decides_it() {
+    const PAUSE: Duration = Duration::from_millis(50);
+    const FURTHER: [(Replies, Outcome); 6] = [
+        (&[&[(Duration::ZERO, DELIVERED)], &[(PAUSE, DELIVERED)]], Outcome::Delivered),
+        (&[&[(Duration::ZERO, DELIVERED)], &[(PAUSE, DELIVERED), (PAUSE, DELIVERED)]], Outcome::Delivered),
+        (
+            &[&[(Duration::ZERO, DELIVERED)], &[(PAUSE, DELIVERED), (PAUSE, REFUSED)]],
+            Outcome::Full { wait: None },
+        ),
+        (
+            &[
+                &[(Duration::ZERO, DELIVERED)],
+                &[(PAUSE, DELIVERED), (PAUSE, "HTTP/1.1 102 Processing\r\n\r\n")],
+            ],
+            Outcome::Malformed,
+        ),
+        (&[&[(Duration::ZERO, DELIVERED)], &[(PAUSE, DELIVERED), (PAUSE, "\0noise")]], Outcome::Malformed),
+        (
+            &[
+                &[(Duration::ZERO, DELIVERED)],
+                &[(PAUSE, DELIVERED), (PAUSE, "HTTP/1.1 503 Busy\r\nContent-")],
+            ],
+            Outcome::Malformed,
+        ),
+    ];
+    let settled = FURTHER.map(|(replies, expected)| {
+        tokio::spawn(async move {
+            let (mut pool, to, inputs, mut updates) = pool_with_endpoint(replies).await;
+            let deadline = Instant::now() + STEP * 30;
+            for id in 0..2 {
+                let (_sender, commands) = mpsc::channel(2);
+                pool.start_call(call(to, vec![item(id, deadline, deadline)], commands), inputs.clone());
+                let update = next_update(&mut updates).await;
+                assert_eq!(
+                    (ended(&update), update.ended[0].is_provisional),
+                    (vec![(id, Outcome::Delivered)], id == 1)
+                );
+                if id == 0 {
+                    tokio::time::sleep(RESTED).await;
+                }
+            }
+            match timeout(STEP * 10, updates.recv()).await.expect("the delivery is settled in time") {
+                Some(Input::AttemptSettled(update)) => assert_eq!(ended(&update), [(1, expected)]),
+                other => panic!("{other:?}"),
+            }
+        })
+    });
+    for settled in settled {
+        settled.await.expect("the delivery is settled as expected");
+    }
+}
