--- a/crates/http/src/calls.rs
+++ b/crates/http/src/calls.rs
@@ -1,19 +1,15 @@
 //! Calls to endpoints. A connection carries one call at a time; each message in a call gets its own outcome.
 
-use crate::connection::{self, CancelHandle, Connection, SendError};
+use crate::connection::{CancelHandle, Connection, SendError};
 use crate::gate_handle::GateHandle;
 use crate::idle::CheckIn;
+use crate::outcomes::{delivered, end, outcomes};
 use crate::own_response::{WaitReports, own_response, rest, settle};
-use base64::Engine;
-use base64::engine::general_purpose::STANDARD;
+use crate::request::request;
+use crate::response::{CallError, CallResponse, read};
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
-use hyper::header::HeaderValue;
-use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
-use serde::{Deserialize, Serialize};
-use std::hash::{DefaultHasher, Hash, Hasher};
-use std::net::SocketAddr;
+use hyper::{Request, StatusCode};
 use std::pin::{Pin, pin};
 use std::time::Duration;
 use tokio::sync::mpsc::Sender;
@@ -21,8 +17,9 @@
 #[cfg(feature = "gate")]
 use yarrowhill_engine::CallResult;
 use yarrowhill_engine::{AttemptEnd, Call, CallCommand, CallUpdate, Input, Item};
-use yarrowhill_policy::api::{LimitReport, MessageId, Micros, Outcome};
-use yarrowhill_settings::parse_limit_report;
+#[cfg(feature = "gate")]
+use yarrowhill_policy::api::Micros;
+use yarrowhill_policy::api::{MessageId, Outcome};
 
 /// Longest time that the gate may delay a call, which occupies a slot and a connection meanwhile, before its
 /// messages return to the decision module.
@@ -38,12 +35,6 @@
 /// Where another endpoint can take the messages, a call waits for its connection only for the connect
 /// timeout divided by this.
 const EARLY_CONNECT_DIVISOR: u32 = 4;
-/// Longest response body that is read.
-const MAX_RESPONSE_BYTES: usize = 64 << 10;
-/// Upper bound of a wait (ms), far above any that is meant: a wait corrupted in transit must not block a
-/// destination for good.
-const MAX_WAIT_MS: f64 = 60_000.0;
-
 /// Makes a call, on an idle connection if there is one, and reports its outcomes to the engine. A connection
 /// that can be used again is returned to the pool first.
 pub(crate) async fn run(
@@ -438,22 +429,6 @@
     }
 }
 
-fn end(item: &Item, outcome: Outcome) -> AttemptEnd {
-    AttemptEnd {
-        id: item.id,
-        attempt: item.attempt,
-        outcome,
-        finished: false,
-        is_provisional: false,
-        report: None,
-        wait: None,
-    }
-}
-
-fn delivered(item: &Item) -> AttemptEnd {
-    AttemptEnd { finished: true, ..end(item, Outcome::Delivered) }
-}
-
 /// Returns what the end of a call says about its destination; `None` if the call was cancelled.
 #[cfg(feature = "gate")]
 fn call_result(result: &Option<Result<CallResponse, CallError>>, is_late: bool) -> Option<CallResult> {
@@ -473,117 +448,6 @@
     }
 }
 
-#[derive(Serialize)]
-struct BatchItem<'a> {
-    id: &'a str,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    key: Option<&'a str>,
-    body: String,
-}
-
-/// Builds the request for one message or a batch. Returns `None` without messages, or if a header value is
-/// not valid.
-fn request(items: &[Item], to: SocketAddr) -> Option<Request<Full<Bytes>>> {
-    let mut request = match items {
-        [] => return None,
-        [item] => single(item)?,
-        items => batch(items)?,
-    };
-    *request.method_mut() = Method::POST;
-    let wait = items.iter().map(|i| i.deadline).max()?.saturating_duration_since(Instant::now());
-    let wait = HeaderValue::from(u64::try_from(wait.as_millis()).unwrap_or(u64::MAX));
-    request.headers_mut().insert("req-deadline-ms", wait);
-    connection::set_host(&mut request, to);
-    Some(request)
-}
-
-fn single(item: &Item) -> Option<Request<Full<Bytes>>> {
-    let mut request = Request::new(Full::new(item.body.clone()));
-    *request.uri_mut() = Uri::from_static("/hook");
-    request.headers_mut().insert("req-id", HeaderValue::from_str(&item.message_id).ok()?);
-    if let Some(key) = &item.key {
-        request.headers_mut().insert("idempotency-key", HeaderValue::from_str(key).ok()?);
-    }
-    Some(request)
-}
-
-fn batch(items: &[Item]) -> Option<Request<Full<Bytes>>> {
-    let list: Vec<BatchItem> = items
-        .iter()
-        .map(|i| BatchItem { id: &i.message_id, key: i.key.as_deref(), body: STANDARD.encode(&i.body) })
-        .collect();
-    let text = serde_json::to_vec(&list).ok()?;
-    let mut request = Request::new(Full::new(Bytes::from(text)));
-    *request.uri_mut() = Uri::from_static("/hook/batch");
-    request.headers_mut().insert("content-type", HeaderValue::from_static("application/json"));
-    Some(request)
-}
-
-/// The endpoint's response to a call.
-pub(crate) struct CallResponse {
-    pub(crate) status: StatusCode,
-    pub(crate) wait: Option<Micros>,
-    /// Whether the endpoint refused the call because all its slots are taken.
-    no_slot: bool,
-    /// Whether the endpoint closes the connection after this response.
-    pub(crate) closes: bool,
-    report: Option<LimitReport>,
-    /// Results of the messages of a batch.
-    pub(crate) states: Option<Vec<ItemState>>,
-    /// Whether the body was read to its end, so that the connection can be used again.
-    pub(crate) is_complete: bool,
-    /// Whether the result of the call cannot be read. A wait or a report in the head is valid all the same.
-    pub(crate) is_malformed: bool,
-    /// Whether the response may turn out to belong to another call.
-    pub(crate) is_provisional: bool,
-    /// Hash of the status, the headers and the body: the same for a copy.
-    pub(crate) fingerprint: u64,
-}
-
-impl CallResponse {
-    /// Creates a response of which only the status line is usable.
-    fn status_only(status: StatusCode) -> Self {
-        CallResponse {
-            status,
-            wait: None,
-            no_slot: false,
-            closes: false,
-            report: None,
-            states: None,
-            is_complete: false,
-            is_malformed: false,
-            is_provisional: false,
-            fingerprint: 0,
-        }
-    }
-
-    /// Returns whether the call, or each message of it that the body does not exclude, was delivered.
-    pub(crate) fn is_ok(&self) -> bool {
-        self.status == StatusCode::OK
-    }
-
-    /// Returns whether the endpoint has too many connections, if this is the response to the first request of
-    /// one: it refuses the call without a wait and closes the connection.
-    fn refuses_connection(&self) -> bool {
-        let is_refused = self.status == StatusCode::SERVICE_UNAVAILABLE && !self.no_slot;
-        is_refused && self.closes && self.wait.is_none() && !self.is_malformed
-    }
-}
-
-/// Why a call has no readable response, and so whether it may have run.
-#[derive(Clone, Copy)]
-pub(crate) enum CallError {
-    /// Nothing was written.
-    NotWritten,
-    /// No connection could be opened.
-    NeverRan,
-    /// The connection broke after the request was written.
-    MayHaveRun,
-    /// The endpoint sent a malformed response, or it is unknown which response answers the call; the call may
-    /// have run.
-    Malformed,
-}
-
 /// Sends a call and returns its response. `batch_ids` are those of the messages of a batch.
 async fn exchange(
     open: &mut Connection,
@@ -617,125 +481,3 @@
     open.history.remember(&response, sent_at.elapsed());
     Ok(response)
 }
-
-/// Reads a response to its end. A truncated response is malformed: the call may have run, regardless of
-/// its status. Only a 200 for a single message is valid as soon as its status line has arrived.
-pub(crate) async fn read(response: Response<Incoming>, is_batch: bool) -> CallResponse {
-    let headers = response.headers();
-    let mut result = CallResponse {
-        wait: header_text(headers, "wait-ms").and_then(parse_wait),
-        no_slot: header_text(headers, "slots-taken") == Some("1"),
-        closes: header_text(headers, "connection").is_some_and(|v| v.eq_ignore_ascii_case("close")),
-        report: header_text(headers, "srv-load").and_then(parse_report),
-        ..CallResponse::status_only(response.status())
-    };
-    let mut hasher = DefaultHasher::new();
-    result.status.hash(&mut hasher);
-    headers.iter().for_each(|header| header.hash(&mut hasher));
-    let body = connection::read_body(response.into_body(), MAX_RESPONSE_BYTES).await;
-    body.hash(&mut hasher);
-    result.fingerprint = hasher.finish();
-    result.is_complete = body.is_some();
-    if is_batch && result.status == StatusCode::OK {
-        result.states = body.as_deref().and_then(parse_states);
-        result.is_malformed = result.states.is_none();
-    } else {
-        result.is_malformed = !result.is_complete && result.status != StatusCode::OK;
-    }
-    result
-}
-
-/// Parses the results of a batch item by item, so that a malformed item does not hide the others.
-fn parse_states(body: &[u8]) -> Option<Vec<ItemState>> {
-    let items: Vec<serde_json::Value> = serde_json::from_slice(body).ok()?;
-    Some(items.into_iter().filter_map(|item| serde_json::from_value(item).ok()).collect())
-}
-
-fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    headers.get(name).and_then(|v| v.to_str().ok()).map(str::trim)
-}
-
-fn parse_wait(ms: &str) -> Option<Micros> {
-    ms.parse::<f64>().ok().filter(|ms| *ms > 0.0).map(|ms| (ms.min(MAX_WAIT_MS) * 1000.0) as Micros)
-}
-
-/// Parses a limit report. A malformed value does not hide the others.
-fn parse_report(values: &str) -> Option<LimitReport> {
-    let pairs = values.split(',').filter_map(|pair| pair.trim().split_once('='));
-    parse_limit_report(pairs.filter(|(_, value)| value.parse().is_ok_and(f64::is_finite)))
-}
-
-#[derive(Deserialize)]
-pub(crate) struct ItemState {
-    pub(crate) id: String,
-    state: String,
-}
-
-/// Returns the end of each attempt that still waits, by the result of the call.
-fn outcomes(
-    waiting: &[Item],
-    result: &Result<CallResponse, CallError>,
-    is_new_connection: bool,
-) -> Vec<AttemptEnd> {
-    let response = match result {
-        Ok(response) if is_new_connection && response.refuses_connection() => {
-            let refused =
-                |i: &Item| AttemptEnd { report: response.report, ..end(i, Outcome::TooManyConnections) };
-            return waiting.iter().map(refused).collect();
-        }
-        Ok(response) => response,
-        Err(CallError::NotWritten | CallError::NeverRan) => {
-            return waiting.iter().map(|i| end(i, Outcome::ConnectFailed)).collect();
-        }
-        Err(CallError::MayHaveRun) => return waiting.iter().map(|i| end(i, Outcome::Reset)).collect(),
-        Err(CallError::Malformed) => return waiting.iter().map(|i| end(i, Outcome::Malformed)).collect(),
-    };
-    let ended = waiting.iter().map(|item| {
-        let mut states = response.states.iter().flatten();
-        let state = states.find(|s| s.id == item.message_id).map(|s| s.state.as_str());
-        let (outcome, finished) = outcome(response, state);
-        // A wait applies with every outcome: it may come with messages that were all accepted.
-        let is_provisional = response.is_provisional;
-        AttemptEnd {
-            finished,
-            is_provisional,
-            report: response.report,
-            wait: response.wait,
-            ..end(item, outcome)
-        }
-    });
-    let mut ended: Vec<AttemptEnd> = ended.collect();
-    // The decision module judges a call by the last end that is reported of it: a few accepted messages must
-    // not hide that the others were refused or failed.
-    ended.sort_by_key(|e| match e.outcome {
-        Outcome::Delivered => 0,
-        Outcome::NotSent => 1,
-        Outcome::Full { .. } => 2,
-        _ => 3,
-    });
-    ended
-}
-
-/// Returns the outcome of an attempt, and whether its message is finished.
-fn outcome(response: &CallResponse, state: Option<&str>) -> (Outcome, bool) {
-    let full = Outcome::Full { wait: response.wait };
-    match response.status {
-        _ if response.is_malformed => (Outcome::Malformed, false),
-        StatusCode::OK if response.states.is_some() => match state {
-            Some("accepted") => (Outcome::Delivered, true),
-            Some("deferred") => (full, false),
-            Some("expired") => (Outcome::NotSent, true),
-            Some("no_more") => (Outcome::NotSent, false),
-            // The item failed, or its state is missing or unknown: the message may have run.
-            _ => (Outcome::Error, false),
-        },
-        StatusCode::OK => (Outcome::Delivered, true),
-        StatusCode::SERVICE_UNAVAILABLE if response.no_slot => (Outcome::NotSent, false),
-        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => (full, false),
-        StatusCode::GONE => (Outcome::NotSent, true),
-        StatusCode::GATEWAY_TIMEOUT | StatusCode::BAD_REQUEST | StatusCode::PAYLOAD_TOO_LARGE => {
-            (Outcome::NotSent, false)
-        }
-        _ => (Outcome::Error, false),
-    }
-}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -7,8 +7,8 @@
 //! - `observed`: a TCP stream whose bytes an observer sees before the HTTP parser does
 //! - `connection`: one outgoing connection that never resends a request; `status_line`: the part of a response
 //!   that counts by itself
-//! - `calls`, `pool`: calls and their outcomes; the engine's transport; `own_response`: which response answers
-//!   a call
+//! - `calls`, `pool`: calls; the engine's transport; `request`, `response`, `outcomes`: what a call sends, what
+//!   comes back, and what that says about its messages; `own_response`: which response answers a call
 //! - `discovery`, `notices`: requests to the platform; `schedule`: when to request the endpoint list
 //!
 //! All input is bounded: the sizes of heads, bodies, responses and lists, and the time that each may take.
@@ -24,8 +24,11 @@
 mod log_limit;
 pub mod notices;
 mod observed;
+mod outcomes;
 mod own_response;
 mod pool;
+mod request;
+mod response;
 mod schedule;
 mod status_line;
 
--- a/crates/http/src/own_response.rs
+++ b/crates/http/src/own_response.rs
@@ -7,8 +7,8 @@
 //! the response counts as provisional until nothing has followed it for a while: if the connection was shifted,
 //! one more response arrives that no request asked for. A connection rests for that time after each call.
 
-use crate::calls::{CallError, CallResponse, read};
 use crate::connection::{Connection, Further};
+use crate::response::{CallError, CallResponse, read};
 use std::collections::VecDeque;
 use std::time::Duration;
 use tokio::sync::mpsc::Sender;
