Record answers of the stand-in before they are written

Cause: the stand-in wrote an answer and recorded it afterwards. The forwarder sent a message that the answer called deferred again before the record was written.

Change: the record comes first. The checks are as before.

--- a/crates/standins/src/endpoint.rs
+++ b/crates/standins/src/endpoint.rs
@@ -393,7 +393,8 @@
     (items.iter().filter_map(|item| item["id"].as_str()).map(str::to_owned).collect(), true)
 }
 
-/// Reacts to a call, and records how it ended.
+/// Reacts to a call, and records how it ended. Answers are recorded before they are written: the peer may act on
+/// an answer before this task runs again.
 async fn answer_to(connection: &mut Connection, call: &Call<'_>) -> io::Result<Next> {
     let dest = call.dest;
     let now = dest.ledger.now();
@@ -405,8 +406,8 @@
     if let Reaction::Refuse(wait) = reaction {
         let headers: Vec<_> = wait.iter().map(|w| ("Wait-Ms", format!("{w:.0}"))).collect();
         let status = if wait.is_some() { 429 } else { 503 };
-        write_answer(connection, call, answer(status, &headers, b"")).await?;
         call.record_answer(CallEnd::NeverRan, wait);
+        write_answer(connection, call, answer(status, &headers, b"")).await?;
         return Ok(Next::Call);
     }
     if !matches!(reaction, Reaction::Silent | Reaction::Late | Reaction::JustInTime)
@@ -418,12 +419,12 @@
     match reaction {
         Reaction::Refuse(_) => {}
         Reaction::Serve => {
-            write_answer(connection, call, call.valid_answer()).await?;
             call.record_answer(CallEnd::Delivered, None);
+            write_answer(connection, call, call.valid_answer()).await?;
         }
         Reaction::Error => {
-            write_answer(connection, call, answer(500, &[], b"")).await?;
             call.record_answer(CallEnd::MayHaveRun, None);
+            write_answer(connection, call, answer(500, &[], b"")).await?;
         }
         Reaction::Reset => {
             call.record_break();
@@ -459,11 +460,11 @@
         }
         Reaction::Mixed => {
             let body = call.item_states(|n| ["accepted", "deferred", "fault", "expired"][n % 4]);
-            write_answer(connection, call, answer(200, &[], &body)).await?;
             let end =
                 |n: usize| [CallEnd::Delivered, CallEnd::NeverRan, CallEnd::MayHaveRun, CallEnd::Over][n % 4];
             let ends = call.ids.iter().enumerate().map(|(n, id)| (id.clone(), end(n))).collect();
             dest.ledger.write(Event::Answered { call: call.number, ends, wait_ms: None });
+            write_answer(connection, call, answer(200, &[], &body)).await?;
         }
         Reaction::Malformed(kind) => return answer_malformed(connection, call, kind).await,
     }
@@ -508,8 +509,8 @@
             ([&ahead[..], &valid].concat(), CallEnd::Delivered)
         }
     };
-    connection.write(&bytes).await?;
     call.record_answer(end, None);
+    connection.write(&bytes).await?;
     match kind {
         Malformed::UnparsableReport | Malformed::InterimResponses => return Ok(Next::Call),
         Malformed::HugeBody => {
