Log when a scope changes its phase, by which event and with which counts

Need: a destination that fails half of its calls is overloaded at its return, and the debug log could not tell whether its outage was never seen, seen late or ended early.

Change: the decision module logs each change of phase (debug, event 'phase') with its cause, the decayed failures and deliveries, refusals and rates. A scope knows its destination and endpoint for that.

--- a/crates/policy/src/balancer/admission.rs
+++ b/crates/policy/src/balancer/admission.rs
@@ -2,6 +2,7 @@
 //! while it is degraded.
 
 use super::params::SECOND_US;
+use super::scope::PhaseCause;
 use super::state::Balancer;
 use crate::api::{Action, DestId, Effect, EndpointId, MessageId, Micros};
 use std::collections::BTreeMap;
@@ -130,7 +131,7 @@
         for endpoint in dest.endpoints.iter().copied().collect::<Vec<_>>() {
             let scope = self.scope(id, endpoint);
             if scope.overdue_calls(now, &params) >= HANG_OVERDUE_CALLS {
-                scope.enter_outage(now, &params);
+                scope.enter_outage(now, PhaseCause::OverdueCalls, &params);
             }
         }
     }
--- a/crates/policy/src/balancer/endpoint_list.rs
+++ b/crates/policy/src/balancer/endpoint_list.rs
@@ -1,6 +1,6 @@
 //! The endpoint list: which endpoints may be sent to, and what is kept of those that are gone.
 
-use super::scope::Scope;
+use super::scope::{Scope, ScopeId};
 use super::state::{Balancer, Dest, Endpoint};
 use crate::api::{EndpointEntry, Listing, Micros, Weights};
 
@@ -9,13 +9,15 @@
     pub(super) fn apply_list(&mut self, now: Micros, entries: Vec<EndpointEntry>) {
         self.subscription_failures = 0;
         for entry in entries {
-            let new = || Dest { scope: Scope::new(now, &mut self.seed), ..Dest::default() };
+            let id = ScopeId { dest: entry.dest, endpoint: None };
+            let new = || Dest { scope: Scope::new(id, now, &mut self.seed), ..Dest::default() };
             let dest = self.dests.entry(entry.dest).or_insert_with(new);
             dest.kind = self.params.settings.kinds.get(entry.kind).copied().unwrap_or_default();
+            let id = ScopeId { dest: entry.dest, endpoint: Some(entry.endpoint) };
             let new = || Endpoint {
                 avoid_until: now,
                 no_connect_until: now,
-                scope: Scope::new(now, &mut self.seed),
+                scope: Scope::new(id, now, &mut self.seed),
                 ..Endpoint::default()
             };
             let endpoint = self.endpoints.entry(entry.endpoint).or_insert_with(new);
--- a/crates/policy/src/balancer/messages.rs
+++ b/crates/policy/src/balancer/messages.rs
@@ -2,7 +2,7 @@
 
 use super::message_queue::MessageQueue;
 use super::params::SECOND_US;
-use super::scope::Scope;
+use super::scope::{Scope, ScopeId};
 use super::state::{Balancer, Dest, Message, Placement};
 use crate::api::{Action, Decay, Effect, MessageHistory, MessageId, Micros, SubmittedMessage};
 
@@ -116,8 +116,9 @@
     pub(super) fn enqueue(&mut self, now: Micros, id: MessageId) {
         let message = self.messages.get_mut(&id).expect("only held messages are queued");
         message.placement = Placement::Queued;
-        let new = || Dest { scope: Scope::new(now, &mut self.seed), ..Dest::default() };
-        let dest = self.dests.entry(message.submitted.dest).or_insert_with(new);
+        let scope = ScopeId { dest: message.submitted.dest, endpoint: None };
+        let new = || Dest { scope: Scope::new(scope, now, &mut self.seed), ..Dest::default() };
+        let dest = self.dests.entry(scope.dest).or_insert_with(new);
         let queue = dest.queues.entry((message.submitted.class, message.over_quota)).or_default();
         queue.insert(message.due, id, message.submitted.history.was_accepted);
         self.dests_with_queue.insert(message.submitted.dest);
--- a/crates/policy/src/balancer/scope.rs
+++ b/crates/policy/src/balancer/scope.rs
@@ -5,10 +5,10 @@
 mod phase;
 mod rate;
 
-pub(super) use phase::Phase;
+pub(super) use phase::{Phase, PhaseCause};
 
 use super::params::{Params, SECOND_US};
-use crate::api::Micros;
+use crate::api::{DestId, EndpointId, Micros};
 use crate::numeric::{DecayingCounter, random_unit};
 use rate::RECENT_WINDOW_US;
 use std::collections::BTreeMap;
@@ -28,9 +28,20 @@
 /// Weight of one delivery (0 to 1) in the moving average of the recent latency, which covers a few calls.
 pub(super) const RECENT_LATENCY_GAIN: f64 = 0.3;
 
+/// What a scope is: a destination, or one of its endpoints.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct ScopeId {
+    /// The destination.
+    pub(super) dest: DestId,
+    /// The endpoint, where the scope is that of a single one.
+    pub(super) endpoint: Option<EndpointId>,
+}
+
 /// What is known of a destination, or of a single endpoint where endpoints are independent.
 #[derive(Default)]
 pub(super) struct Scope {
+    /// What the scope is, for the log.
+    id: ScopeId,
     /// Phase with respect to outages.
     pub(super) phase: Phase,
     /// State of the pseudo-random number generator.
@@ -86,9 +97,10 @@
 
 impl Scope {
     /// Returns a scope in normal operation of which nothing is known.
-    pub(super) fn new(now: Micros, seed: &mut u64) -> Self {
+    pub(super) fn new(id: ScopeId, now: Micros, seed: &mut u64) -> Self {
         random_unit(seed);
         Scope {
+            id,
             seed: *seed,
             created_at: now,
             last_success: now,
--- a/crates/policy/src/balancer/scope/phase.rs
+++ b/crates/policy/src/balancer/scope/phase.rs
@@ -20,7 +20,7 @@
 const SPARE_CAPACITY_LATENCY_FACTOR: f64 = 2.0;
 
 /// Phase of a scope with respect to outages.
-#[derive(Clone, Copy, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(in crate::balancer) enum Phase {
     /// Normal operation.
     #[default]
@@ -31,6 +31,19 @@
     WarmUp(Micros),
 }
 
+/// What made a scope change its phase.
+#[derive(Clone, Copy, Debug)]
+pub(in crate::balancer) enum PhaseCause {
+    /// Calls failed.
+    Failures,
+    /// Calls were refused, or a long wait was announced.
+    Refusals,
+    /// Calls in flight were overdue.
+    OverdueCalls,
+    /// A call was delivered.
+    Delivery,
+}
+
 impl Scope {
     /// Schedules the next probe of an outage. Probes stay within the load that the destination could bear if
     /// it had recovered just now.
@@ -48,7 +61,7 @@
     }
 
     /// Enters the outage phase, unless the scope is in it already.
-    pub(in crate::balancer) fn enter_outage(&mut self, now: Micros, params: &Params) {
+    pub(in crate::balancer) fn enter_outage(&mut self, now: Micros, cause: PhaseCause, params: &Params) {
         if self.phase == Phase::Up {
             self.rate_before_outage = self
                 .own_rate(now, params)
@@ -56,10 +69,32 @@
                 .max(params.min_rate);
         }
         if !matches!(self.phase, Phase::Outage(_)) {
+            let previous = self.phase;
             self.schedule_probe(now, params);
+            self.log_phase(now, previous, cause, params);
         }
     }
 
+    /// Logs that the phase has changed, by what, and with which counts.
+    fn log_phase(&self, now: Micros, previous: Phase, cause: PhaseCause, params: &Params) {
+        tracing::debug!(
+            dest = self.id.dest,
+            endpoint = self.id.endpoint,
+            from = ?previous,
+            to = ?self.phase,
+            now,
+            ?cause,
+            failures = self.failures.value(now, params.health_window),
+            successes = self.successes.value(now, params.health_window),
+            refusals = self.refusals,
+            since_delivery = now - self.last_success,
+            own_rate = self.own_rate(now, params),
+            rate_before_outage = self.rate_before_outage,
+            own_limit = self.own_limit,
+            "phase"
+        );
+    }
+
     /// Returns the calls per second allowed during a warm-up that began at `since`.
     pub(super) fn warm_up_rate(&self, now: Micros, since: Micros, params: &Params) -> f64 {
         let progress = ((now - since) as f64 / params.warm_up).min(1.0);
@@ -71,9 +106,11 @@
 
     /// Advances the phase after a delivery that took `latency` microseconds.
     pub(super) fn advance_phase(&mut self, now: Micros, latency: f64, params: &Params) {
+        let previous = self.phase;
         match self.phase {
             Phase::Outage(_) => {
                 (self.phase, self.warm_up_boost) = (Phase::WarmUp(now), 1.0);
+                self.log_phase(now, previous, PhaseCause::Delivery, params);
                 (self.failures, self.ambiguous_failures) =
                     (DecayingCounter::default(), DecayingCounter::default());
                 // The next call falls at a random point of the gap after the probe, so that senders whose
@@ -82,7 +119,10 @@
                 let gap = self.allowed_rate(now, params).map_or(SECOND_US, |(rate, _)| SECOND_US / rate);
                 self.last_paced_send = (now - (gap * share) as Micros, gap as Micros);
             }
-            Phase::WarmUp(since) if (now - since) as f64 > params.warm_up => self.phase = Phase::Up,
+            Phase::WarmUp(since) if (now - since) as f64 > params.warm_up => {
+                self.phase = Phase::Up;
+                self.log_phase(now, previous, PhaseCause::Delivery, params);
+            }
             Phase::WarmUp(_) if latency < SPARE_CAPACITY_LATENCY_FACTOR * self.usual_latency => {
                 // Where a limit is known, the boost at most restores the full budget that the settings allow.
                 // Where none is known, it may also make up for the reduced initial capacity, but for no more
@@ -108,7 +148,7 @@
         if failures >= OUTAGE_FAILURES.min(low_traffic_failures)
             && (!delivered_lately || failures > self.successes.value(now, params.health_window))
         {
-            self.enter_outage(now, params);
+            self.enter_outage(now, PhaseCause::Failures, params);
         }
     }
 
@@ -119,7 +159,7 @@
             if self.has_known_limit() { 1.0 } else { (UNEVEN_LOAD_FACTOR * params.sender_share).min(1.0) };
         let refuses_all = f64::from(self.refusals) >= f64::from(OUTAGE_REFUSALS) * share;
         if wait.map_or(refuses_all, |wait| wait as f64 > params.warm_up / 4.0) {
-            self.enter_outage(now, params);
+            self.enter_outage(now, PhaseCause::Refusals, params);
         }
     }
 
