Keep to a cold destination's load while most of its calls fail and some get through

Cause, read off the log of phases: an outage needed more failures than deliveries in a window of 5 s, those of before the trouble included (assumed after 6.4 s by one of two forwarders, never by the other), and the first delivery ended it (148 and 30 ms later), so that the warm-up counted from the middle of the trouble. Ruled out by the same log: the rate of the warm-up itself, and the announced limit.

Change: scope/evidence.rs scores calls in order, 1 for a failure and -0.4 for a delivery. From 4 (fewer for rare senders) an outage begins, which ends with four deliveries in a row; a failure before that restarts the warm-up, and after deliveries among failures its progress waits for them. So no sender has to notice the return in time: until it is sure, it sends no more than a cold destination bears.

--- a/crates/policy/src/balancer/outcomes.rs
+++ b/crates/policy/src/balancer/outcomes.rs
@@ -234,7 +234,7 @@
             Outcome::Full { wait } => scope.record_refusal(now, now - end.elapsed, wait, &params),
             // A response that was corrupted on its way says nothing about the destination's health.
             Outcome::NotSent | Outcome::Malformed => {}
-            outcome => scope.record_failure(now, outcome, &params),
+            outcome => scope.record_failure(now, now - end.elapsed, outcome, &params),
         }
     }
 }
--- a/crates/policy/src/balancer/scope.rs
+++ b/crates/policy/src/balancer/scope.rs
@@ -2,6 +2,7 @@
 //!
 //! A scope is a destination, or a single endpoint where the endpoints of a destination are independent.
 
+mod evidence;
 mod phase;
 mod rate;
 
@@ -10,6 +11,7 @@
 use super::params::{Params, SECOND_US};
 use crate::api::{DestId, EndpointId, Micros};
 use crate::numeric::{DecayingCounter, random_unit};
+use evidence::FailureEvidence;
 use rate::RECENT_WINDOW_US;
 use std::collections::BTreeMap;
 
@@ -58,6 +60,8 @@
     pub(super) failures: DecayingCounter,
     /// Failed calls that may have run, decayed in the health window.
     pub(super) ambiguous_failures: DecayingCounter,
+    /// Evidence that most calls fail.
+    evidence: FailureEvidence,
     /// Time of the last delivery.
     pub(super) last_success: Micros,
     /// Calls in flight and when each was sent.
@@ -161,6 +165,7 @@
     /// Records a delivery that took `latency` microseconds.
     pub(super) fn record_delivery(&mut self, now: Micros, latency: f64, params: &Params) {
         self.successes.add(now, params.health_window);
+        self.evidence.record_delivery(now - latency as Micros);
         self.last_success = now;
         self.refusals = 0;
         let average = |old: f64, gain: f64| if old == 0.0 { latency } else { old + gain * (latency - old) };
--- a/crates/policy/tests/fleet/destination.rs
+++ b/crates/policy/tests/fleet/destination.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use yarrowhill_policy::api::*;
 
+use crate::play::random_unit;
 use crate::{MS, SEC};
 
 /// Share of its capacity that the destination has right after an outage.
@@ -29,6 +30,8 @@
     ReturnsErrors,
     /// Calls are refused.
     RefusesCalls,
+    /// This share (0 to 1) of the calls is answered with an error at once; the others are delivered.
+    FailsShare(f64),
 }
 
 /// A simulated destination with a token bucket for its limit.
@@ -60,6 +63,8 @@
     pub connection_refusal: Outcome,
     /// Number of refused connections.
     pub connects_refused: usize,
+    /// State of the pseudo-random number generator.
+    pub seed: u64,
 }
 
 impl Destination {
@@ -79,6 +84,7 @@
             idle_timeout,
             warm_up_calls: Vec::new(),
             connects_refused: 0,
+            seed: 1,
         }
     }
 
@@ -103,6 +109,8 @@
                 OutageMode::Hangs => Outcome::TimedOut,
                 OutageMode::ReturnsErrors => Outcome::Error,
                 OutageMode::RefusesCalls => Outcome::Full { wait: None },
+                OutageMode::FailsShare(share) if random_unit(&mut self.seed) < share => Outcome::Error,
+                OutageMode::FailsShare(_) => return self.serve(now),
             };
             self.connections.clear();
             return (outcome, None);
@@ -118,6 +126,11 @@
         if is_warming_up {
             self.warm_up_calls.push((now, observed));
         }
+        self.serve(now)
+    }
+
+    /// Serves a call, or refuses it above the limit.
+    fn serve(&mut self, now: Micros) -> (Outcome, Option<LimitReport>) {
         let refill_rate = self.rate.min(self.capacity(now));
         self.tokens =
             (self.tokens + refill_rate * (now - self.refilled_at) as f64 / SEC as f64).min(self.bucket_size);
--- a/crates/policy/tests/fleet/main.rs
+++ b/crates/policy/tests/fleet/main.rs
@@ -340,3 +340,57 @@
         assert!(worst > 0.0, "{senders} senders: {worst:.1} calls over the budget");
     }
 }
+
+/// Plays outages in which most calls fail and the others are delivered, at a destination that refuses nothing
+/// while it is cold. Returns the senders, limit, share of failed calls, seconds and calls beyond the fall of
+/// each setting in which it falls. `SEEDS` sets the number of seeds.
+fn falls_after_intermittent_failures(
+    listed_limit_factor: Option<f64>,
+) -> Vec<(usize, f64, f64, Micros, f64)> {
+    let seeds = std::env::var("SEEDS").ok().and_then(|s| s.parse().ok()).unwrap_or(2);
+    let mut falls = Vec::new();
+    for (senders, limit) in
+        [1, 2, 5, 20, 30, 300].into_iter().flat_map(|n| [3.0, 15.0, 35.0, 60.0].map(|limit| (n, limit)))
+    {
+        for (failed_share, outage_secs) in [0.52, 0.7, 0.9].into_iter().flat_map(|s| [(s, 8), (s, 15)]) {
+            let recovery = Recovery {
+                outage_mode: OutageMode::FailsShare(failed_share),
+                outage_secs,
+                load: 0.9,
+                first_sender_share: 0.2,
+                listed_limit_factor,
+                never_refuses: true,
+            };
+            let results = play_in_parallel(1..=seeds, |seed| play_recovery(senders, limit, recovery, seed));
+            let calls_beyond = results.iter().map(|result| result.calls_beyond_its_fall.0);
+            let worst = calls_beyond.fold(f64::NEG_INFINITY, f64::max);
+            let delivered = results.iter().map(|result| result.delivered).sum::<f64>() / seeds as f64;
+            println!(
+                "{senders:3} senders, limit {limit:4.1}, {failed_share:.2} of the calls fail for \
+                 {outage_secs} s: {worst:6.1} calls beyond the fall, {:.3} of the limit delivered",
+                delivered / limit
+            );
+            if worst > 0.0 {
+                falls.push((senders, limit, failed_share, outage_secs, worst));
+            }
+        }
+    }
+    falls
+}
+
+/// Guards against a destination that fails most of its calls, delivers the others, and is overloaded when it
+/// returns cold: deliveries hid the outage, or counted as its end, so that senders were back at their usual rate
+/// when it was over.
+#[test]
+fn a_destination_that_failed_most_of_its_calls_is_not_overloaded_when_it_returns() {
+    let falls = falls_after_intermittent_failures(Some(1.0));
+    assert!(falls.is_empty(), "{falls:?}");
+}
+
+/// The same where no limit is announced: the growth during the warm-up, which deliveries at the usual latency
+/// allow, exceeds the budget. Listed in KNOWN-RED.txt.
+#[test]
+fn without_a_limit_a_destination_that_failed_most_of_its_calls_is_not_overloaded() {
+    let falls = falls_after_intermittent_failures(None);
+    assert!(falls.is_empty(), "{falls:?}");
+}
--- a/crates/policy/tests/fleet/play.rs
+++ b/crates/policy/tests/fleet/play.rs
@@ -134,7 +134,7 @@
     }
 }
 
-fn random_unit(seed: &mut u64) -> f64 {
+pub fn random_unit(seed: &mut u64) -> f64 {
     *seed ^= *seed << 13;
     *seed ^= *seed >> 7;
     *seed ^= *seed << 17;
@@ -209,6 +209,7 @@
     dest.max_connections = scene
         .connections_per_sender
         .map_or(usize::MAX, |part| ((scene.senders as f64 * part) as usize).max(1));
+    dest.seed = (seed ^ 0x9e37_79b9_7f4a_7c15) | 1;
     dest.connection_refusal = scene.connection_refusal;
     let new = |i| Sender {
         balancer: Sender::started(&scene, start, seed + i as u64),
