Send nothing before discovery has confirmed the list of a new process or address

Cause: 500 ms after a start the engine took the configured list if the agent was silent. The test does_not_wait_for_a_silent_agent_after_a_start asked for the contrary and is replaced by sends_nothing_while_the_agent_of_a_new_process_is_silent. Two others that relied on such sends (100,000 open messages, idle clients) now ask that none is sent before the agent's answer, and for the same sends after it. Related: after SIGHUP a silent new agent left the old list in force without end; what it has counts as told 4 s later.

Change: ListConfirmation says whether messages may be sent; the watch reports a change of address in order; without sends the decision module still ends what is due. Considered: sends within the grace of 2 s (the address may be another partner's by then), the list's version (shows no change from a time without a process).

--- a/crates/engine/src/engine/mod.rs
+++ b/crates/engine/src/engine/mod.rs
@@ -13,6 +13,7 @@
 use crate::endpoints::Endpoints;
 use crate::input::Input;
 use crate::list::EndpointList;
+use crate::list_confirmation::ListConfirmation;
 use crate::message::{Answer, Notice, Submission};
 use crate::quota_shares::QuotaShares;
 use crate::transport::Transport;
@@ -55,9 +56,6 @@
 const SHARE_REPORT_INTERVAL_US: Micros = 250_000;
 /// A call begins at most this long after its connect timeout (microseconds).
 const BEGIN_SLACK_US: Micros = 400_000;
-/// Time after the start for which nothing is sent while discovery's agent has not answered (microseconds). It
-/// may have reported to the previous process a drain that the configured list does not contain.
-const DISCOVERY_GRACE_US: Micros = 500_000;
 /// Age assumed for an attempt that may have run at an unknown time, and largest age of any (microseconds). No
 /// destination remembers an idempotency key that long.
 const MAX_ATTEMPT_AGE_US: Micros = 365 * 24 * 3600 * 1_000_000;
@@ -200,9 +198,7 @@
     wake_at: Option<Micros>,
     /// When a failure of the journal was last logged.
     failure_logged_at: Option<Instant>,
-    /// Time until which nothing is sent; set while discovery's agent has not answered since the start of the
-    /// process.
-    discovery_deadline: Option<Micros>,
+    list_confirmation: ListConfirmation,
 }
 
 impl<T: Transport> Engine<T> {
@@ -229,13 +225,15 @@
             let counts = vec![0; quotas.len()];
             TenantQuotas { shard: index, quota_shares, quotas, counts, reported_at: None }
         });
+        let clock = Clock::new();
         let mut engine = Engine {
             capacity,
             tenants,
             balancer: Balancer::new(options.settings.clone(), options.seed),
-            settings: options.settings,
             names: options.names,
-            clock: Clock::new(),
+            list_confirmation: ListConfirmation::at_start(clock.now(), options.settings.must_subscribe),
+            settings: options.settings,
+            clock,
             journal,
             transport,
             messages: HashMap::new(),
@@ -253,18 +251,14 @@
             events: Vec::new(),
             wake_at: None,
             failure_logged_at: None,
-            discovery_deadline: None,
         };
         let now = engine.clock.now();
-        // Where discovery answers only when asked, many forwarders ask it, so the first sends do not wait for
-        // its answer: the initial list has to do.
-        engine.discovery_deadline = (!engine.settings.must_subscribe).then_some(now + DISCOVERY_GRACE_US);
         engine.apply_list(now, &options.initial_list);
         for (message_id, end) in recovered.orphans {
             engine.pending_notices.push(Notice { message_id, end });
         }
         recovered.open.into_iter().for_each(|open| engine.resume(now, open));
-        // Nothing is sent yet, since the initial list may be out of date.
+        // Nothing is sent before the first turn, which may bring the list of discovery's agent.
         engine.finish_turn(now, Vec::new(), false);
         Ok(engine)
     }
@@ -279,7 +273,7 @@
         if !self.events.is_empty() {
             return Instant::now();
         }
-        let times = [self.wake_at, self.discovery_deadline, self.provisional.next_expiry()];
+        let times = [self.wake_at, self.provisional.next_expiry()];
         let first = times.into_iter().flatten().min();
         first.map_or(latest, |at| self.clock.instant(at).min(latest))
     }
@@ -314,9 +308,10 @@
                 Input::WaitAnnounced { endpoint, wait } => self.wait_announced(now, endpoint, wait),
                 Input::AttemptSettled(update) => self.attempts_settled(now, update),
                 Input::List(list) => {
-                    self.discovery_deadline = None;
+                    self.list_confirmation.confirmed();
                     self.apply_list(now, &list);
                 }
+                Input::DiscoveryMoved => self.list_confirmation.discovery_moved(now),
                 Input::NoticesAcknowledged(batch) => self.notices_acknowledged(batch),
                 #[cfg(feature = "senders")]
                 Input::Senders(count) => {
@@ -326,21 +321,18 @@
             }
         }
         self.expire_provisional(now);
-        self.discovery_deadline = self.discovery_deadline.filter(|deadline| now < *deadline);
         if self.wake_at.is_some_and(|at| at <= now) {
             self.wake_at = None;
             self.balancer.on_event(now, Event::Wake, &mut self.actions);
         }
-        self.finish_turn(now, submitted, may_send && self.discovery_deadline.is_none());
+        self.finish_turn(now, submitted, may_send && self.list_confirmation.allows_sends(now));
     }
 
     /// Ends a turn: lets the decision module decide, and carries out its actions, in the order final answers,
     /// journal, acceptance, calls, notices.
     fn finish_turn(&mut self, now: Micros, submitted: Vec<MessageId>, may_send: bool) {
-        // The module decides on sends at the end of a turn; without that event it asks for none.
-        if may_send {
-            self.balancer.on_event(now, Event::TurnEnd, &mut self.actions);
-        }
+        let turn_end = if may_send { Event::TurnEnd } else { Event::TurnEndWithoutSends };
+        self.balancer.on_event(now, turn_end, &mut self.actions);
         let mut attempts = Vec::new();
         for action in std::mem::take(&mut self.actions) {
             match action {
--- a/crates/engine/src/input.rs
+++ b/crates/engine/src/input.rs
@@ -23,6 +23,8 @@
     },
     /// Discovery sent the endpoint list, or changes to it.
     List(EndpointList),
+    /// The configuration names another address for discovery; what it sent before has been passed on.
+    DiscoveryMoved,
     /// The platform has acknowledged these notices.
     NoticesAcknowledged(Vec<Notice>),
     /// The number of senders that share the limits stated for all senders has changed to this value.
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -24,6 +24,7 @@
 mod gate;
 mod input;
 mod list;
+mod list_confirmation;
 mod message;
 mod quota_shares;
 mod run;
--- a/crates/engine/src/shards.rs
+++ b/crates/engine/src/shards.rs
@@ -60,14 +60,18 @@
     }
 }
 
-/// Forwards endpoint lists to all engines, each with the endpoints of its shard.
+/// Forwards what discovery sends to all engines, of each list the endpoints of the shard.
 pub async fn distribute_lists(mut inputs: Receiver<Input>, engines: EngineSenders) {
     let shards = engines.all().len();
     while let Some(input) = inputs.recv().await {
-        let Input::List(list) = input else { continue };
         for (shard, engine) in engines.all().iter().enumerate() {
+            let input = match &input {
+                Input::List(list) => Input::List(shard_list(list, shard, shards)),
+                Input::DiscoveryMoved => Input::DiscoveryMoved,
+                _ => continue,
+            };
             // The receiver is closed only when the process ends.
-            let _ = engine.send(Input::List(shard_list(&list, shard, shards))).await;
+            let _ = engine.send(input).await;
         }
     }
 }
--- a/crates/http/src/discovery.rs
+++ b/crates/http/src/discovery.rs
@@ -74,7 +74,11 @@
     let mut schedule = Schedule::new(config.forwarders, config.version, rng);
     let mut connection = None;
     // A change of address ends the initial delay.
-    let _ = timeout(schedule.initial_delay(), address.changed()).await;
+    if let Ok(Ok(())) = timeout(schedule.initial_delay(), address.changed()).await
+        && engine.send(Input::DiscoveryMoved).await.is_err()
+    {
+        return;
+    }
     loop {
         let to = *address.borrow_and_update();
         let request = schedule.next_request();
@@ -88,6 +92,9 @@
             Ok(()) = address.changed() => {
                 connection = None;
                 schedule.address_changed();
+                if engine.send(Input::DiscoveryMoved).await.is_err() {
+                    return;
+                }
                 continue;
             }
         };
@@ -108,6 +115,9 @@
                 let delay = schedule.failed(e.kind(), started_at.elapsed());
                 if let Ok(Ok(())) = timeout(delay, address.changed()).await {
                     schedule.address_changed();
+                    if engine.send(Input::DiscoveryMoved).await.is_err() {
+                        return;
+                    }
                 }
             }
         }
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -304,6 +304,8 @@
     Wake,
     /// The host has submitted all the events that it has for now. Sends are decided here.
     TurnEnd,
+    /// The same while nothing may be sent: only what is due is done.
+    TurnEndWithoutSends,
 }
 
 /// An output of the decision module, to be carried out by the host.
--- a/crates/policy/src/balancer/mod.rs
+++ b/crates/policy/src/balancer/mod.rs
@@ -80,6 +80,11 @@
             }
             Event::Wake => self.wake_at = if now >= self.wake_at { Micros::MAX } else { self.wake_at },
             Event::TurnEnd => self.turn_end(now, actions),
+            Event::TurnEndWithoutSends => {
+                self.run_timers(now, actions);
+                self.remove_delisted_endpoints(now);
+                self.set_wake(now, Micros::MAX, actions);
+            }
         }
     }
 }
--- a/crates/yarrowhill/tests/rare.rs
+++ b/crates/yarrowhill/tests/rare.rs
@@ -102,20 +102,69 @@
     assert!(old.stays_quiet(QUIET).await, "a draining target was called");
 }
 
-/// Discovery does not answer: the list of the configuration has to be used after a short time.
+/// Guards against messages that are sent by an old list while the agent of a new process is silent. The agent has
+/// had another list since before the start, in which the endpoint is gone.
 #[tokio::test]
-async fn does_not_wait_for_a_silent_agent_after_a_start() {
-    let (silent, mut stub) = (RawServer::start().await, Stub::start().await);
-    let discovery = Discovery::start().await;
-    let known = [target("t", stub.addr, 7, "plain", "in_service")];
-    let silent_addr = silent.addr;
+async fn sends_nothing_while_the_agent_of_a_new_process_is_silent() {
+    let (discovery, mut gone, mut new) = (Discovery::start().await, Stub::start().await, Stub::start().await);
+    let known = [target("t", gone.addr, 7, "plain", "in_service")];
+    discovery.set_silent(true);
+    discovery.push(
+        5,
+        vec![
+            target("t", gone.addr, 7, "plain", "terminated"),
+            target("u", new.addr, 7, "plain", "in_service"),
+        ],
+    );
     let start = Instant::now();
-    let forwarder =
-        Forwarder::start(&discovery, &known, |c| c["discovery"] = json!(silent_addr.to_string())).await;
+    let forwarder = Forwarder::start(&discovery, &known, |_| {}).await;
     assert!(start.elapsed() < Duration::from_secs(5), "ready after {:?}", start.elapsed());
-    assert_eq!(forwarder.submit("keyed", "m", 9000).await.status(), 202);
-    let call =
-        stub.next_within(Duration::from_secs(3)).await.expect("the message is sent by the configured list");
+    assert_eq!(forwarder.submit("keyed", "m", 20_000).await.status(), 202);
+    assert!(gone.stays_quiet(Duration::from_secs(3)).await, "sent by a list that nobody has confirmed");
+    discovery.set_silent(false);
+    let call = new.next_within(Duration::from_secs(3)).await.expect("sent once the agent has answered");
+    assert_eq!(call.header("req-id"), "m");
+    call.answer(200);
+    assert!(gone.stays_quiet(QUIET).await, "a call to the endpoint that is gone");
+}
+
+/// Guards against messages that get no end while nothing may be sent.
+#[tokio::test]
+async fn ends_a_message_in_time_while_the_agent_of_a_new_process_is_silent() {
+    let (mut discovery, mut stub) = (Discovery::start().await, Stub::start().await);
+    let known = [target("t", stub.addr, 7, "plain", "in_service")];
+    discovery.set_silent(true);
+    let forwarder = Forwarder::start(&discovery, &known, |_| {}).await;
+    let submitted_at = Instant::now();
+    assert_eq!(forwarder.submit("keyed", "m", 1500).await.status(), 202);
+    let notice = discovery.notice().await;
+    assert_eq!((&notice["message"], &notice["outcome"]), (&json!("m"), &json!("handed_back")));
+    assert!(submitted_at.elapsed() < Duration::from_millis(1800), "after {:?}", submitted_at.elapsed());
+    assert!(stub.stays_quiet(QUIET).await, "sent by a list that nobody has confirmed");
+}
+
+/// Guards against messages that are sent by the list of an earlier agent when that of the new configuration has
+/// been silent for longer than 4 s, the time after which what it has counts as announced.
+#[tokio::test]
+async fn sends_nothing_by_an_old_list_while_the_agent_of_a_new_configuration_is_silent() {
+    let (first, second) = (Discovery::start().await, Discovery::start().await);
+    let (mut gone, mut new) = (Stub::start().await, Stub::start().await);
+    let known = [target("t", gone.addr, 7, "plain", "in_service")];
+    let forwarder = Forwarder::start(&first, &known, |_| {}).await;
+    assert_eq!(forwarder.submit("keyed", "confirmed", 20_000).await.status(), 202);
+    gone.next().await.answer(200);
+    second.set_silent(true);
+    second.push_full_list(9, vec![target("u", new.addr, 7, "plain", "in_service")]);
+    let reloaded_at = Instant::now();
+    forwarder.reload(|c| c["discovery"] = json!(second.addr.to_string()));
+    assert_eq!(forwarder.submit("keyed", "a", 20_000).await.status(), 202);
+    gone.next_within(Duration::from_secs(2)).await.expect("sent before the time is over").answer(200);
+    sleep(Duration::from_millis(4200).saturating_sub(reloaded_at.elapsed())).await;
+    assert_eq!(forwarder.submit("keyed", "b", 20_000).await.status(), 202);
+    assert!(gone.stays_quiet(Duration::from_secs(1)).await, "sent by the list of the earlier agent");
+    second.set_silent(false);
+    let call = new.next_within(Duration::from_secs(3)).await.expect("sent once the agent has answered");
+    assert_eq!(call.header("req-id"), "b");
     call.answer(200);
 }
 
@@ -356,16 +405,14 @@
 }
 
 /// The state folder has 100,000 open messages and discovery does not answer: the program becomes ready all
-/// the same, and sends the messages that were never sent.
+/// the same. It sends the messages that were never sent once discovery has answered, and not before.
 #[tokio::test]
 async fn starts_in_time_with_100_000_open_messages_and_a_silent_agent() {
     const MESSAGES: u64 = 100_000;
-    let (silent, mut stub, discovery) =
-        (RawServer::start().await, Stub::start().await, Discovery::start().await);
+    let (discovery, mut stub) = (Discovery::start().await, Stub::start().await);
     let known = [target("t", stub.addr, 7, "plain", "in_service")];
-    let silent_addr = silent.addr;
+    discovery.set_silent(true);
     let mut forwarder = Forwarder::start(&discovery, &known, |c| {
-        c["discovery"] = json!(silent_addr.to_string());
         c["limits"]["disk_mb"] = json!(400);
         c["limits"]["memory_mb"] = json!(512);
     })
@@ -375,6 +422,8 @@
     let start = Instant::now();
     forwarder.restart().await;
     assert!(start.elapsed() < Duration::from_secs(10), "ready after {:?}", start.elapsed());
+    assert!(stub.stays_quiet(QUIET).await, "sent by a list that nobody has confirmed");
+    discovery.set_silent(false);
     for _ in 0..20 {
         let call = stub.next().await;
         assert!(call.header("req-id").starts_with("open-"));
@@ -432,20 +481,21 @@
 }
 
 /// Idle clients try to take all descriptors, discovery does not answer, and the program restarts meanwhile:
-/// it becomes ready in time, accepts and delivers messages, and keeps to its limit on descriptors.
+/// it becomes ready in time, accepts messages, and keeps to its limit on descriptors. After each start discovery
+/// answers once, and the messages are delivered.
 #[tokio::test]
 async fn serves_clients_beside_idle_clients_and_a_silent_discovery() {
     const DESCRIPTORS: u64 = 64;
-    let (silent, mut stub, discovery) =
-        (RawServer::start().await, Stub::start().await, Discovery::start().await);
+    let (discovery, mut stub) = (Discovery::start().await, Stub::start().await);
     let known = [target("t", stub.addr, 7, "plain", "in_service")];
-    let silent_addr = silent.addr;
-    let settings = |c: &mut Value| {
-        c["discovery"] = json!(silent_addr.to_string());
-        c["limits"]["sockets"] = json!(DESCRIPTORS);
-    };
+    let settings = |c: &mut Value| c["limits"]["sockets"] = json!(DESCRIPTORS);
+    discovery.set_silent(true);
     let mut forwarder = Forwarder::start(&discovery, &known, settings).await;
     for round in 0..2 {
+        assert_eq!(forwarder.submit("keyed", &format!("first{round}"), 9000).await.status(), 202);
+        discovery.set_silent(false);
+        stub.next().await.answer(200);
+        discovery.set_silent(true);
         let mut idle = Vec::new();
         for n in 0..100 {
             if let Ok(Ok(stream)) = timeout(QUIET, TcpStream::connect(forwarder.addr)).await {
--- a/crates/yarrowhill/tests/support/mod.rs
+++ b/crates/yarrowhill/tests/support/mod.rs
@@ -14,7 +14,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use std::{env, fs, io, process};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -147,6 +147,7 @@
     pub addr: SocketAddr,
     lists: mpsc::UnboundedSender<Value>,
     notices: mpsc::UnboundedReceiver<Call>,
+    is_silent: Arc<AtomicBool>,
 }
 
 impl Discovery {
@@ -155,6 +156,8 @@
         let addr = stub.addr;
         let (lists, mut pushed) = mpsc::unbounded_channel::<Value>();
         let (pass_on, notices) = mpsc::unbounded_channel();
+        let is_silent = Arc::new(AtomicBool::new(false));
+        let silent = is_silent.clone();
         tokio::spawn(async move {
             // All lists that were pushed, in order, and the request that waits for the next one.
             let (mut pushed_lists, mut watch): (Vec<Value>, Option<Call>) = (Vec::new(), None);
@@ -167,7 +170,7 @@
                     Some(list) = pushed.recv() => pushed_lists.push(list),
                     else => return,
                 }
-                let Some(call) = watch.take() else { continue };
+                let Some(call) = watch.take_if(|_| !silent.load(Ordering::Relaxed)) else { continue };
                 let index = call.path.split("index=").nth(1).and_then(|i| i.split('&').next());
                 let index: Option<u64> = index.and_then(|i| i.parse().ok());
                 let known = index.and_then(|i| pushed_lists.iter().rposition(|list| list["rev"] == i));
@@ -182,7 +185,12 @@
                 }
             }
         });
-        Discovery { addr, lists, notices }
+        Discovery { addr, lists, notices, is_silent }
+    }
+
+    /// Sets whether requests for the list stay unanswered. Notices are answered all the same.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.is_silent.store(is_silent, Ordering::Relaxed);
     }
 
     pub fn push(&self, rev: u64, targets: Vec<Value>) {
