--- a/crates/policy/src/balancer/scope/evidence.rs
+++ b/crates/policy/src/balancer/scope/evidence.rs
@@ -1,8 +1,8 @@
 //! Evidence that most calls of a scope fail, while others may be delivered.
 //!
-//! A sequential test over the outcomes of calls: each failure raises the score, each delivery lowers it by less,
-//! and it does not fall below zero. So deliveries of the time before the failures began do not outweigh them,
-//! and neither do the deliveries among them.
+//! A sequential test over the outcomes of calls: each failure raises the score, each delivery lowers it by
+//! less, and it does not fall below zero. So deliveries of the time before the failures began do not outweigh
+//! them, and neither do the deliveries among them.
 
 use crate::api::Micros;
 
--- a/crates/policy/src/balancer/scope/phase.rs
+++ b/crates/policy/src/balancer/scope/phase.rs
@@ -178,8 +178,8 @@
         }
     }
 
-    /// Records a failure as evidence that most calls fail, and begins the warm-up anew if they still do. A call
-    /// that was sent before the warm-up began says nothing about the time since.
+    /// Records a failure as evidence that most calls fail, and begins the warm-up anew if they still do. A
+    /// call that was sent before the warm-up began says nothing about the time since.
     fn record_failure_evidence(
         &mut self,
         now: Micros,
--- a/crates/yarrowhill/tests/rare.rs
+++ b/crates/yarrowhill/tests/rare.rs
@@ -102,8 +102,8 @@
     assert!(old.stays_quiet(QUIET).await, "a draining target was called");
 }
 
-/// Guards against messages that are sent by an old list while the agent of a new process is silent. The agent has
-/// had another list since before the start, in which the endpoint is gone.
+/// Guards against messages that are sent by an old list while the agent of a new process is silent. The agent
+/// has had another list since before the start, in which the endpoint is gone.
 #[tokio::test]
 async fn sends_nothing_while_the_agent_of_a_new_process_is_silent() {
     let (discovery, mut gone, mut new) = (Discovery::start().await, Stub::start().await, Stub::start().await);
