--- a/crates/policy/src/balancer/mod.rs
+++ b/crates/policy/src/balancer/mod.rs
@@ -1,7 +1,8 @@
 //! All decisions of a sender. The interface (settings, events, actions) is [`crate::api`].
 //!
-//! Reading order: `params` and `scope` (what is known of a destination, its rate and its phase), `state`, then
-//! by event: `endpoint_list`, `messages`, `admission` with `selection` and `exposure`, `outcomes`, `timers`.
+//! Reading order: `params` and `scope` (what is known of a destination, its rate and its phase), `state`,
+//! then by event: `endpoint_list`, `messages`, `admission` with `selection` and `exposure`, `outcomes`,
+//! `timers`.
 
 mod admission;
 mod endpoint_list;
