Close a connection that rests together with the idle ones to its endpoint

Cause: a request to close idle connections, made right after a call while connections are scarce, passed over the connection of that call, which rests for half a second since answers that come twice were mended. It was kept for up to 13 s, and some ten of them fill an endpoint's table.

Change: closing idle connections marks those that rest. A rest then ends at once, a provisional delivery once it is settled. The place is taken before the call's end is reported. Both new tests fail without the change.

--- a/crates/http/src/calls.rs
+++ b/crates/http/src/calls.rs
@@ -2,7 +2,7 @@
 
 use crate::connection::{CancelHandle, Connection, SendError};
 use crate::gate_handle::GateHandle;
-use crate::idle::CheckIn;
+use crate::idle::{CheckIn, RestingPlace};
 use crate::outcomes::{delivered, end, outcomes};
 use crate::own_response::{WaitReports, own_response, rest, settle};
 use crate::request::request;
@@ -157,12 +157,18 @@
     }
     let Some(result) = result else { return pending.report().await };
     pending.ended.extend(outcomes(&pending.waiting, &result, pending.is_new_connection));
+    let reusable = match (result, connection) {
+        (Ok(response), Some(open)) if response.is_complete && !response.is_malformed => {
+            Some((response, open))
+        }
+        _ => None,
+    };
+    // The connection rests before its call's end is reported: the decision module may then ask for idle
+    // connections to be closed, and means this one too.
+    let place = reusable.is_some().then(|| check_in.begin_rest());
     pending.report().await;
-    if let (Ok(response), Some(open)) = (result, connection)
-        && response.is_complete
-        && !response.is_malformed
-    {
-        pending.settle(open, response, check_in).await;
+    if let (Some((response, open)), Some(place)) = (reusable, place) {
+        pending.settle(open, response, &place, check_in).await;
     }
 }
 
@@ -279,9 +285,14 @@
 
     /// Reports the final end of a provisional one, lets the connection rest, and returns it to the pool if
     /// nothing has followed the response.
-    async fn settle(self, mut open: Connection, response: CallResponse, check_in: CheckIn) {
+    async fn settle(
+        self,
+        mut open: Connection,
+        response: CallResponse,
+        place: &RestingPlace,
+        check_in: CheckIn,
+    ) {
         let (is_provisional, answered_at) = (response.is_provisional, Instant::now());
-        let place = check_in.begin_rest();
         if is_provisional {
             let (within, waits) = (open.history.provisional_for(), self.wait_reports());
             let settled = tokio::select! {
@@ -302,11 +313,11 @@
         }
         tokio::select! {
             biased;
+            () = place.closing() => {}
             () = rest(&mut open, answered_at.elapsed()) => {}
             () = place.needed() => {}
         }
-        drop(place);
-        check_in.put_back(Some(open).filter(Connection::is_open));
+        check_in.put_back_rested(place, open);
     }
 
     fn wait_reports(&self) -> WaitReports {
--- a/crates/http/src/idle.rs
+++ b/crates/http/src/idle.rs
@@ -4,7 +4,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 use yarrowhill_policy::api::EndpointId;
 
@@ -17,7 +17,7 @@
     /// Number of connections that are being opened although no call waits for them.
     pub(crate) opening: usize,
     /// Connections that rest after a call, the longest first.
-    pub(crate) resting: VecDeque<Arc<Notify>>,
+    pub(crate) resting: VecDeque<Arc<Resting>>,
     /// Upper bound of `idle`, `opening` and `resting` together.
     pub(crate) max_idle: usize,
 }
@@ -38,11 +38,25 @@
             && !state.close_longest_idle()
             && let Some(longest) = state.resting.front()
         {
-            longest.notify_one();
+            longest.place_needed.notify_one();
+        }
+        let resting = Arc::new(Resting {
+            endpoint: self.endpoint,
+            place_needed: Notify::new(),
+            is_closing: watch::Sender::new(false),
+        });
+        state.resting.push_back(resting.clone());
+        RestingPlace { state: self.state.clone(), resting }
+    }
+
+    /// Keeps a connection that has rested, unless idle connections to its endpoint were closed meanwhile.
+    pub(crate) fn put_back_rested(self, place: &RestingPlace, connection: Connection) {
+        connection.discard_surplus();
+        let mut state = lock(&self.state);
+        state.end_rest(&place.resting);
+        if connection.is_open() && !*place.resting.is_closing.borrow() {
+            state.put_idle(self.endpoint, self.address, connection);
         }
-        let needed = Arc::new(Notify::new());
-        state.resting.push_back(needed.clone());
-        RestingPlace { state: self.state.clone(), needed }
     }
 
     /// Keeps a connection for a later call, or closes it.
@@ -74,22 +88,38 @@
     }
 }
 
+/// A connection that rests after a call.
+#[derive(Debug)]
+pub(crate) struct Resting {
+    endpoint: EndpointId,
+    /// Notified when another connection needs the place.
+    place_needed: Notify,
+    /// True once the connection is to be closed after its rest at the latest.
+    is_closing: watch::Sender<bool>,
+}
+
 /// Place of a connection that rests after a call; dropping it frees the place.
 pub(crate) struct RestingPlace {
     state: Arc<Mutex<PoolState>>,
-    needed: Arc<Notify>,
+    resting: Arc<Resting>,
 }
 
 impl RestingPlace {
     /// Returns when another connection needs the place.
     pub(crate) async fn needed(&self) {
-        self.needed.notified().await;
+        self.resting.place_needed.notified().await;
+    }
+
+    /// Returns when the connection is to be closed, like the idle ones to its endpoint.
+    pub(crate) async fn closing(&self) {
+        // The sender lives as long as this place.
+        let _ = self.resting.is_closing.subscribe().wait_for(|is_closing| *is_closing).await;
     }
 }
 
 impl Drop for RestingPlace {
     fn drop(&mut self) {
-        lock(&self.state).resting.retain(|needed| !Arc::ptr_eq(needed, &self.needed));
+        lock(&self.state).end_rest(&self.resting);
     }
 }
 
@@ -111,6 +141,21 @@
         self.idle + self.opening + self.resting.len() >= self.max_idle
     }
 
+    /// Frees the place of a connection that rested, if it is not free already.
+    fn end_rest(&mut self, ended: &Arc<Resting>) {
+        self.resting.retain(|resting| !Arc::ptr_eq(resting, ended));
+    }
+
+    /// Closes the idle connections to an endpoint, and those that rest, each as soon as its last call is
+    /// settled.
+    pub(crate) fn close_idle(&mut self, endpoint: EndpointId) {
+        let idle = self.endpoints.get_mut(&endpoint);
+        self.idle -= idle.map_or(0, |idle| idle.connections.drain(..).count());
+        for resting in self.resting.iter().filter(|resting| resting.endpoint == endpoint) {
+            resting.is_closing.send_replace(true);
+        }
+    }
+
     /// Closes the connection that has been idle for the longest time. Returns false if none is idle.
     fn close_longest_idle(&mut self) -> bool {
         let with_idle = self.endpoints.values_mut().filter(|idle| !idle.connections.is_empty());
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -76,10 +76,7 @@
     }
 
     fn close_idle(&mut self, endpoint: EndpointId) {
-        let mut state = self.lock();
-        let idle = state.endpoints.get_mut(&endpoint);
-        let closed = idle.map_or(0, |idle| idle.connections.drain(..).count());
-        state.idle -= closed;
+        self.lock().close_idle(endpoint);
     }
 
     fn prune_idle(&mut self) {
--- a/crates/http/tests/calls.rs
+++ b/crates/http/tests/calls.rs
@@ -559,6 +559,65 @@
     outcomes
 }
 
+/// Makes a call and answers it. Returns the endpoint's side of the connection once the end is reported.
+async fn answered_call(
+    pool: &mut Pool,
+    listener: &TcpListener,
+    open: Option<TcpStream>,
+    inputs: &mpsc::Sender<Input>,
+    updates: &mut mpsc::Receiver<Input>,
+) -> TcpStream {
+    let to = listener.local_addr().expect("listener is bound");
+    let (_sender, commands) = mpsc::channel(4);
+    let deadline = Instant::now() + STEP * 20;
+    pool.start_call(call(to, vec![item(1, deadline, deadline)], commands), inputs.clone());
+    let mut stream = match open {
+        Some(stream) => stream,
+        None => listener.accept().await.expect("call connects").0,
+    };
+    let mut text = Vec::new();
+    while !text.ends_with(b"body") {
+        assert!(stream.read_buf(&mut text).await.expect("call is written") > 0);
+    }
+    stream.write_all(DELIVERED.as_bytes()).await.expect("response is read");
+    assert_eq!(ended(&next_update(updates).await), [(1, Outcome::Delivered)]);
+    stream
+}
+
+/// Guards against connections that fill the small connection tables of endpoints: a request to close the idle
+/// ones, made when a call had just ended, passed over the connection of that call, which rested and was kept
+/// for seconds after it.
+#[tokio::test]
+async fn closes_a_resting_connection_with_the_idle_ones() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("port is free");
+    let mut pool = Pool::new(4, Duration::from_secs(5));
+    pool.set_endpoint_address(1, listener.local_addr().ok());
+    let (inputs, mut updates) = mpsc::channel(8);
+    let mut stream = answered_call(&mut pool, &listener, None, &inputs, &mut updates).await;
+    pool.close_idle(1);
+    let closed = timeout(STEP * 2, stream.read(&mut [0; 16])).await.expect("closed before its rest is over");
+    assert_eq!(closed.unwrap_or(0), 0);
+}
+
+/// The same while the delivery is provisional: the connection is closed once nothing has followed it, and not
+/// before.
+#[tokio::test]
+async fn closes_a_connection_with_the_idle_ones_after_a_provisional_delivery() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("port is free");
+    let mut pool = Pool::new(4, Duration::from_secs(5));
+    pool.set_endpoint_address(1, listener.local_addr().ok());
+    let (inputs, mut updates) = mpsc::channel(8);
+    let first = answered_call(&mut pool, &listener, None, &inputs, &mut updates).await;
+    tokio::time::sleep(RESTED).await;
+    let mut stream = answered_call(&mut pool, &listener, Some(first), &inputs, &mut updates).await;
+    pool.close_idle(1);
+    assert!(timeout(STEP, stream.read(&mut [0; 16])).await.is_err(), "closed before the delivery is settled");
+    let settled = timeout(STEP * 10, updates.recv()).await.expect("the delivery is settled");
+    assert!(matches!(settled, Some(Input::AttemptSettled(_))), "{settled:?}");
+    let closed = timeout(STEP, stream.read(&mut [0; 16])).await.expect("closed without a rest");
+    assert_eq!(closed.unwrap_or(0), 0);
+}
+
 /// Guards against repeated effects: a copy of a refusal that comes after its connection has rested, while the
 /// next call is out, had that call's message sent again although it ran.
 #[tokio::test]
