Release connections where none counts as idle, while they are scarce

Cause: the decision module counts a connection as idle from the answer on. A message that comes while it rests goes out on a new connection, and the resting one is taken for used. When the new one is refused, only endpoints with connections that count as idle were released, so that the resting one stayed for seconds.

Change: while connections are scarce, idle connections are closed after a call whether or not the module counts any. The new test fails without the change.

--- a/crates/policy/src/balancer/admission.rs
+++ b/crates/policy/src/balancer/admission.rs
@@ -115,8 +115,11 @@
             // A sender that holds a connection is never refused one, and does not notice that others are.
             let is_old = min_busy >= 1.0
                 && now - endpoint.connected_since >= MAX_AGE_WARM_UPS * params.warm_up as Micros;
-            let may_close = is_old || now < self.connections_scarce_until;
-            if may_close && busy < min_busy && !endpoint.idle_connections.is_empty() {
+            // The host may hold a connection that is not counted as idle: one that rests after a call is not
+            // used for the next one.
+            let may_close =
+                now < self.connections_scarce_until || is_old && !endpoint.idle_connections.is_empty();
+            if may_close && busy < min_busy {
                 self.endpoints.get_mut(&id).expect("looked up above").idle_connections.clear();
                 actions.push(Action::CloseIdle { endpoint: id });
             }
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -410,6 +410,18 @@
     assert_eq!(timed_sends(&harness.advance(SEC)).len(), 1, "the destination is up: retried within a second");
 }
 
+/// Guards against connections that fill small connection tables: the host opens a new connection while the one
+/// of the last call rests, and none counts as idle when the new one is refused.
+#[test]
+fn a_sender_whose_connection_is_refused_releases_one_that_rests() {
+    let mut harness = Harness::new(many_senders(), vec![entry(10, 1, 0)]);
+    harness.submit(1, 0, 1);
+    assert!(!closed(&harness.end_attempt(1, 0, Outcome::Delivered, 200 * MS)));
+    harness.submit(2, 0, 1);
+    let end = harness.end_attempt(2, 0, Outcome::TooManyConnections, 50 * MS);
+    assert!(end.contains(&Action::CloseIdle { endpoint: 10 }), "{end:?}");
+}
+
 /// A sender that holds a connection is never refused one, so that it cannot know that others are.
 #[test]
 fn a_rarely_used_connection_is_closed_when_it_is_old() {
