Record answers in the cases, and end them with their scripts

Change: each call is recorded with its messages and its answer. A case's program ends with its script, and its forwarders with the program.

--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -48,7 +48,9 @@
         while let Ok(Some(request)) = read_request(&mut reader) {
             log.line_at(request.last_byte, format!("call {}", request.header("Req-Id")));
             thread::sleep(ms(60));
-            if answer(&stream, 200, &[("Srv-Load", "x0=0.8,x1=40")], "").is_err() {
+            let written = answer(&stream, 200, &[("Srv-Load", "x0=0.8,x1=40")], "");
+            log.line(format!("answer {}: 200 {written:?}", request.header("Req-Id")));
+            if written.is_err() {
                 return;
             }
         }
@@ -71,6 +73,7 @@
             thread::spawn(move || {
                 for n in 0..5 {
                     let id = format!("{:016x}", 0xbad0_0000 + client * 100 + n);
+                    record.line(format!("bad client {id}: a head that names {BODY_BYTES} bytes, then its body in segments"));
                     let came = send_part(addr, &id);
                     record.line(format!("bad client {id}: {came:?}"));
                 }
--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -8,10 +8,11 @@
     echo "build first: the build of deploy/balancer.toml, and review/build-2.sh" >&2
     exit 2
 fi
-# The forwarder ends with the case's program, however that ends.
+# The program ends with this script, and its forwarders with the program, however either ends.
+program=
+trap '[ -n "$program" ] && kill -KILL "$program" 2>/dev/null; sleep 1; exit 2' INT TERM HUP
 "$case" "$here/record.txt" &
 program=$!
-trap 'kill -KILL "$program"; exit 2' INT TERM HUP
 wait "$program"
 status=$?
 [ "$status" -le 1 ] && exit "$status"
--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -27,7 +27,8 @@
             let n = count.fetch_add(1, Ordering::SeqCst);
             thread::sleep(ms(60));
             let is_spoilt = !is_calm() && n > 60 && n % SPOILT_EVERY == 0;
-            log.line(format!("call {} is answered, spoilt: {is_spoilt}", request.header("Req-Id")));
+            log.line_at(request.last_byte, format!("call {}", request.header("Req-Id")));
+            log.line(format!("answer {}: 200, spoilt: {is_spoilt}", request.header("Req-Id")));
             if is_spoilt {
                 let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n");
                 // Until the forwarder has closed the connection.
--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -26,7 +26,9 @@
                 record.line_at(request.first_byte, format!("call at {name}: {id}"));
                 calls.lock().expect("not poisoned").push((request.first_byte, name, id));
                 thread::sleep(ms(60));
-                if answer(&stream, 200, &[("Srv-Load", "x0=0.8,x1=40")], "").is_err() {
+                let written = answer(&stream, 200, &[("Srv-Load", "x0=0.8,x1=40")], "");
+                record.line(format!("answer of {name}: {} 200 {written:?}", request.header("Req-Id")));
+                if written.is_err() {
                     return;
                 }
             }
--- a/review/standins-2/lib.rs
+++ b/review/standins-2/lib.rs
@@ -70,11 +70,14 @@
     exit(i32::from(!broken.is_empty()));
 }
 
-/// Ends a run that takes too long.
+/// Ends a run that takes too long, or whose script is gone.
 pub fn watchdog(limit: Duration) {
+    let (begin, script) = (Instant::now(), std::os::unix::process::parent_id());
     thread::spawn(move || {
-        thread::sleep(limit);
-        cannot_run("the run took too long");
+        while begin.elapsed() < limit && std::os::unix::process::parent_id() == script {
+            thread::sleep(ms(50));
+        }
+        cannot_run("the run took too long, or its script has ended");
     });
 }
 
