Hold of a body only what has arrived, whatever the size of its pieces

Cause: the parser passes on each read as a slice of its buffer of 8 KiB and allocates another while the slice lives. read_body in the intake collected the slices, so that a body held a buffer for each read. And the limit on the memory of bodies counted the announced length from the head on, so that 64 clients that stopped used it up.

Ruled out: buffers by connection and memory that the allocator keeps, which do not depend on the pieces.

Change: http::body copies each piece as it comes, and body_memory counts what is allocated. Each body may take 4 KiB; more comes from an eighth of the memory limit, where bodies that arrive too slowly to be complete in time give way. The headers of a request are released before its body is read.

Why it works: a slice is dropped before the next read, so that the parser uses its buffer again; what stops gives way to what arrives.

--- a/crates/http/src/intake.rs
+++ b/crates/http/src/intake.rs
@@ -1,17 +1,18 @@
 //! Accepts messages from clients: parses requests, submits them to the engine, and returns its answers.
 
+use crate::body::{self, BodyError};
+use crate::body_memory::{BodyMemory, CompleteBody};
 use crate::gate_handle::GateHandle;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
+use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use percent_encoding::percent_decode_str;
-#[cfg(feature = "gate")]
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{Semaphore, oneshot, watch};
-use tokio::time::timeout;
+use tokio::sync::{oneshot, watch};
 use yarrowhill_engine::{Answer, EngineSenders, Input, Phase, Submission};
 use yarrowhill_policy::api::{Effect, Settings};
 use yarrowhill_settings::{Names, index_of, normalize_name};
@@ -33,8 +34,8 @@
     settings: Settings,
     engines: EngineSenders,
     phase: watch::Receiver<Phase>,
-    /// Memory (KiB) left for bodies that the engine has not received.
-    body_kib: Semaphore,
+    /// Memory for bodies that the engine has not accepted.
+    bodies: Arc<BodyMemory>,
     gate: GateHandle,
 }
 
@@ -48,7 +49,7 @@
 
 impl Intake {
     /// Creates an intake that parses messages by these names and settings and submits them to the engine.
-    /// `body_kib` is the limit (KiB) of the memory for bodies that the engine has not received.
+    /// `body_kib` is the limit (KiB) of the memory for bodies that the engine has not accepted.
     pub fn new(
         names: Names,
         settings: Settings,
@@ -56,8 +57,8 @@
         phase: watch::Receiver<Phase>,
         body_kib: usize,
     ) -> Self {
-        let (engines, body_kib) = (engines.into(), Semaphore::new(body_kib));
-        Intake { names, settings, engines, phase, body_kib, gate: GateHandle::default() }
+        let (engines, bodies) = (engines.into(), BodyMemory::new(body_kib * 1024));
+        Intake { names, settings, engines, phase, bodies, gate: GateHandle::default() }
     }
 
     /// Sets a gate that is consulted before each message and at each readiness check.
@@ -82,7 +83,7 @@
             (&Method::GET, "/-/ready") => status(StatusCode::SERVICE_UNAVAILABLE),
             (&Method::POST, path) if path.len() > 1 => match self.submit(request).await {
                 Ok(answer) => reply(answer),
-                Err(code) => status(code),
+                Err(rejection) => rejection.reply(),
             },
             _ => status(StatusCode::NOT_FOUND),
         };
@@ -94,35 +95,25 @@
         reply
     }
 
-    async fn submit(&self, request: Request<Incoming>) -> Result<Answer, StatusCode> {
+    async fn submit(&self, request: Request<Incoming>) -> Result<Answer, Rejection> {
         let (parts, body) = request.into_parts();
-        // The path is a single segment, the class.
-        let class = parts.uri.path().trim_start_matches('/');
-        if class.contains('/') {
-            return Err(StatusCode::NOT_FOUND);
+        // The headers, and the buffer that they were read into, are released before the body is read.
+        let head = self.read_parts(parts)?;
+        if body.size_hint().exact().is_none_or(|length| length > MAX_BODY_BYTES as u64) {
+            return Err(Rejection::Status(StatusCode::PAYLOAD_TOO_LARGE));
         }
-        let class = percent_decode_str(class).decode_utf8().map_err(|_| StatusCode::BAD_REQUEST)?;
-        let class = index_of(&self.names.classes, &normalize_name(&class)).ok_or(StatusCode::BAD_REQUEST)?;
-        let head = self.read_head(class, &parts.headers).ok_or(StatusCode::BAD_REQUEST)?;
-        let Some(length) = body.size_hint().exact().filter(|length| *length <= MAX_BODY_BYTES as u64) else {
-            return Err(StatusCode::PAYLOAD_TOO_LARGE);
-        };
-        // Bounds the memory that concurrent bodies may take.
-        let Ok(_permit) = self.body_kib.try_acquire_many(length.div_ceil(1024) as u32) else {
-            return Ok(Answer::Refused(Some(RETRY_DELAY)));
-        };
-        let body = read_body(body).await?;
+        let CompleteBody { bytes, reservation: _reservation } = read_body(body, &self.bodies).await?;
         if !self.gate.may_accept() {
             return Ok(Answer::Refused(Some(RETRY_DELAY)));
         }
         let (answer, answered) = oneshot::channel();
         let message = Submission {
             id: head.id,
-            class,
+            class: head.class,
             tenant: head.tenant,
             dest: head.dest,
             key: head.key,
-            body,
+            body: bytes,
             deadline: tokio::time::Instant::now() + head.remaining,
             answer,
         };
@@ -135,6 +126,18 @@
         Ok(answered.await.unwrap_or(Answer::Refused(None)))
     }
 
+    fn read_parts(&self, parts: Parts) -> Result<Head, Rejection> {
+        // The path is a single segment, the class.
+        let class = parts.uri.path().trim_start_matches('/');
+        if class.contains('/') {
+            return Err(Rejection::Status(StatusCode::NOT_FOUND));
+        }
+        let class = percent_decode_str(class).decode_utf8().ok();
+        let class = class.and_then(|class| index_of(&self.names.classes, &normalize_name(&class)));
+        let head = class.and_then(|class| self.read_head(class, &parts.headers));
+        head.ok_or(Rejection::Status(StatusCode::BAD_REQUEST))
+    }
+
     fn read_head(&self, class: usize, headers: &HeaderMap) -> Option<Head> {
         // With two values of a header it is unknown which one other programs would use.
         let is_unique = |name: &str| headers.get_all(name).iter().nth(1).is_none();
@@ -161,6 +164,7 @@
         }
         let remaining = text("req-deadline-ms")?.parse().ok().filter(|ms| *ms <= MAX_DEADLINE_MS)?;
         Some(Head {
+            class,
             id: Some(id("req-id")?.to_owned()).filter(|id| !id.is_empty())?,
             tenant,
             dest: text("envelope")?
@@ -173,8 +177,9 @@
     }
 }
 
-/// Values from the headers of a message.
+/// Values from the path and the headers of a message.
 struct Head {
+    class: usize,
     id: String,
     tenant: Option<usize>,
     dest: u64,
@@ -182,16 +187,36 @@
     remaining: Duration,
 }
 
-async fn read_body(body: Incoming) -> Result<Bytes, StatusCode> {
-    match timeout(BODY_TIMEOUT, Limited::new(body, MAX_BODY_BYTES).collect()).await {
-        // The collected bytes are a slice of the connection's read buffer; without a copy a held message
-        // would keep the complete buffer.
-        Ok(Ok(body)) => Ok(Bytes::copy_from_slice(&body.to_bytes())),
-        Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
-        Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
+/// Why a message did not reach the engine.
+enum Rejection {
+    /// The request cannot be understood, or was not completed in time.
+    Status(StatusCode),
+    /// The memory for its body was needed for others. Nothing is wrong with the request.
+    OutOfMemory,
+}
+
+impl Rejection {
+    fn reply(self) -> Reply {
+        match self {
+            Rejection::Status(code) => status(code),
+            Rejection::OutOfMemory => {
+                let mut reply = reply(Answer::Refused(Some(RETRY_DELAY)));
+                // The rest of the body is not read.
+                reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                reply
+            }
+        }
     }
 }
 
+async fn read_body(body: Incoming, memory: &Arc<BodyMemory>) -> Result<CompleteBody, Rejection> {
+    body::collect(body, MAX_BODY_BYTES, BODY_TIMEOUT, memory).await.map_err(|e| match e {
+        BodyError::OutOfMemory => Rejection::OutOfMemory,
+        BodyError::TooLong | BodyError::Broken(_) => Rejection::Status(StatusCode::BAD_REQUEST),
+        BodyError::TimedOut => Rejection::Status(StatusCode::REQUEST_TIMEOUT),
+    })
+}
+
 fn reply(answer: Answer) -> Reply {
     match answer {
         Answer::Accepted => status(StatusCode::ACCEPTED),
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! - `intake`: reads client requests and submits them to the engine
 //! - `clients`: accepts client connections, evicts idle ones when room runs short, and closes each
+//! - `body`, `body_memory`: reads bodies, within a bound on their memory
 //! - `head_scanner`: detects request heads with ambiguous body framing
 //! - `observed`: a TCP stream whose bytes an observer sees before the HTTP parser does
 //! - `connection`: one outgoing connection that never resends a request; `status_line`: the part of a response
@@ -13,6 +14,8 @@
 //!
 //! All input is bounded: the sizes of heads, bodies, responses and lists, and the time that each may take.
 
+mod body;
+mod body_memory;
 mod calls;
 mod clients;
 mod connection;
--- a/crates/yarrowhill/tests/support/mod.rs
+++ b/crates/yarrowhill/tests/support/mod.rs
@@ -345,6 +345,18 @@
         open.count() as u64
     }
 
+    /// Returns what counts against the memory limit of the process (bytes): its own memory, and the files of its
+    /// state folder.
+    pub fn memory_bytes(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.process.id()));
+        let status = status.expect("the process runs");
+        let own = status.lines().find_map(|line| line.strip_prefix("RssAnon:"));
+        let own = own.and_then(|v| v.trim().strip_suffix(" kB")?.parse::<u64>().ok()).expect("a size in kB");
+        let files = fs::read_dir(self.folder.join("state")).expect("the folder exists");
+        let lengths = files.filter_map(|file| Some(file.ok()?.metadata().ok()?.len()));
+        own * 1024 + lengths.sum::<u64>()
+    }
+
     /// Sets the limit of the system on descriptors of the running process.
     pub fn set_descriptor_limit(&self, max: u64) {
         let args = ["--pid".to_owned(), self.process.id().to_string(), format!("--nofile={max}:")];
