Keep nothing of answers but the results of batches, in bounded memory

Cause: connection::read_body collected up to 64 KiB of an answer as slices of the read buffer, each of which holds 8 KiB, for each call in flight. An answer too long to be read also held its call for 0.5 s.

Change: the body of an answer to one message is hashed and released piece by piece; answers to batches share an eighth of the memory limit. What announces more than is read ends its call at once on a connection without a history. Lists and acknowledgements of notices, read by the same function, are mended with it, and a list is bounded by an eighth of the memory limit.

Why it works: no piece outlives its read, and what is kept is counted over all calls together.

The two tests in memory.rs and the one in calls.rs failed before.

--- a/crates/http/src/calls.rs
+++ b/crates/http/src/calls.rs
@@ -1,5 +1,6 @@
 //! Calls to endpoints. A connection carries one call at a time; each message in a call gets its own outcome.
 
+use crate::body_memory::BodyMemory;
 use crate::connection::{CancelHandle, Connection, SendError};
 use crate::gate_handle::GateHandle;
 use crate::idle::{CheckIn, RestingPlace};
@@ -11,6 +12,7 @@
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
 use std::pin::{Pin, pin};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc::Sender;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
@@ -43,6 +45,7 @@
     results: Sender<Input>,
     gate: GateHandle,
     check_in: CheckIn,
+    bodies: Arc<BodyMemory>,
 ) {
     let (waiting, now) = (std::mem::take(&mut call.items), Instant::now());
     let mut pending = PendingCall {
@@ -74,7 +77,8 @@
             let limit = pending.call.connect_timeout;
             let connect_wait =
                 if pending.call.has_alternative { limit / EARLY_CONNECT_DIVISOR } else { limit };
-            let mut opening = Box::pin(detect_suspension(Connection::open(pending.call.address, limit)));
+            let opening = Connection::open(pending.call.address, limit, bodies.clone());
+            let mut opening = Box::pin(detect_suspension(opening));
             let opened = timeout(connect_wait, opening.as_mut());
             match pending.wait_for(opened, Stage::Connecting).await {
                 Some(Ok((Ok(open), was_suspended))) => {
@@ -470,7 +474,7 @@
     let sent_at = Instant::now();
     let is_batch = !batch_ids.is_empty();
     let response = match open.send(request, begin_by).await {
-        Ok(response) => read(response, is_batch).await,
+        Ok(response) => read(open, response, is_batch).await,
         // The status line is valid regardless of what followed it.
         Err(SendError::Malformed | SendError::MayHaveArrived)
             if !is_batch && open.status() == Some(StatusCode::OK) =>
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -5,11 +5,13 @@
 //! as a second copy of an earlier one, shifts all that follow. A connection therefore keeps what comes after a
 //! response, and reads it as a further response if it is asked to ([`Connection::further_response`]).
 
+use crate::body::{self, BodyError};
+use crate::body_memory::{BodyMemory, CompleteBody};
 use crate::observed::{ObservedStream, StreamObserver};
 use crate::own_response::ResponseHistory;
 use crate::status_line::{NestedStatusLine, Received, StatusLineParser};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HOST, HeaderValue};
@@ -66,6 +68,8 @@
     pub(crate) history: ResponseHistory,
     /// Whether a response came that no request asked for.
     is_shifted: bool,
+    /// Memory for the bodies of responses.
+    bodies: Arc<BodyMemory>,
 }
 
 /// The HTTP client on a stream; dropping it closes the stream.
@@ -190,8 +194,8 @@
 }
 
 impl Connection {
-    /// Opens a connection within `limit`.
-    pub(crate) async fn open(to: SocketAddr, limit: Duration) -> io::Result<Self> {
+    /// Opens a connection within `limit`. `bodies` is the memory for the bodies of its responses.
+    pub(crate) async fn open(to: SocketAddr, limit: Duration, bodies: Arc<BodyMemory>) -> io::Result<Self> {
         static NEXT_ID: AtomicU64 = AtomicU64::new(0);
         let opening = async {
             let stream = TcpStream::connect(to).await?;
@@ -202,7 +206,7 @@
         let session = timeout(limit, opening).await.map_err(|_| io::ErrorKind::TimedOut)??;
         let id = NEXT_ID.fetch_add(1, Ordering::Relaxed);
         let history = ResponseHistory::default();
-        Ok(Connection { id, session, round_trip: since.elapsed(), history, is_shifted: false })
+        Ok(Connection { id, session, round_trip: since.elapsed(), history, is_shifted: false, bodies })
     }
 
     /// Waits for up to `within` for what follows the last response, and reads it as a further one. Unless
@@ -292,6 +296,15 @@
         })
     }
 
+    /// Reads the complete body of a response within [`RESPONSE_TIMEOUT`].
+    pub(crate) async fn collect_body(
+        &self,
+        incoming: Incoming,
+        max_bytes: usize,
+    ) -> Result<CompleteBody, BodyError> {
+        body::collect(incoming, max_bytes, RESPONSE_TIMEOUT, &self.bodies).await
+    }
+
     /// Closes the connection and returns once its socket is closed.
     pub(crate) async fn close(mut self) {
         self.session.driver.abort();
@@ -392,11 +405,18 @@
     }
 }
 
-/// Reads the complete body of a response. Returns `None` if the body is longer than `max_bytes`, breaks off,
-/// or takes longer than [`RESPONSE_TIMEOUT`].
-pub(crate) async fn read_body(incoming: Incoming, max_bytes: usize) -> Option<Bytes> {
-    let body = timeout(RESPONSE_TIMEOUT, Limited::new(incoming, max_bytes).collect()).await;
-    body.ok()?.ok().map(|body| body.to_bytes())
+/// Reads a body of at most `max_bytes` to its end within [`RESPONSE_TIMEOUT`], and keeps nothing of it. Each piece
+/// is passed to `visitor`.
+pub(crate) async fn discard_body(
+    mut incoming: Incoming,
+    max_bytes: usize,
+    mut visitor: impl FnMut(&Bytes),
+) -> Result<(), BodyError> {
+    let read_all = body::visit(&mut incoming, max_bytes, |piece| {
+        visitor(piece);
+        Ok(())
+    });
+    timeout(RESPONSE_TIMEOUT, read_all).await.map_err(|_| BodyError::TimedOut)?
 }
 
 /// Sets the `Host` header, which HTTP/1.1 requires.
--- a/crates/http/src/connection/tests.rs
+++ b/crates/http/src/connection/tests.rs
@@ -21,7 +21,8 @@
         read.truncate(len);
         read
     });
-    let mut connection = Connection::open(to, Duration::from_secs(5)).await.expect("connection opens");
+    let mut connection =
+        Connection::open(to, Duration::from_secs(5), BodyMemory::new(0)).await.expect("connection opens");
     // Let the driver run until it waits for the socket.
     for _ in 0..10 {
         yield_now().await;
--- a/crates/http/src/discovery.rs
+++ b/crates/http/src/discovery.rs
@@ -1,6 +1,7 @@
 //! Keeps the endpoint list current with successive long-poll watches. The private module `schedule` decides
 //! when to send the next request and for which version.
 
+use crate::body_memory::BodyMemory;
 use crate::connection::{self, Connection};
 use crate::schedule::{FailureKind, Schedule, WatchRequest};
 use bytes::Bytes;
@@ -9,6 +10,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc::Sender;
 use tokio::sync::watch;
@@ -17,8 +19,6 @@
 
 /// Time limit for a connection to discovery to open.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Maximum length of a list in bytes.
-const MAX_LIST_BYTES: usize = 8 << 20;
 
 #[derive(Debug, thiserror::Error)]
 enum WatchError {
@@ -64,6 +64,8 @@
     pub forwarders: Option<usize>,
     /// Seed of the random numbers that spread the requests.
     pub seed: u64,
+    /// Maximum length of a list in bytes.
+    pub max_list_bytes: usize,
 }
 
 /// Watches the endpoint list without end and passes each list to the engine in the order received. When the
@@ -72,6 +74,7 @@
 pub async fn watch(mut address: watch::Receiver<SocketAddr>, config: WatchConfig, engine: Sender<Input>) {
     let rng = ChaCha8Rng::seed_from_u64(config.seed);
     let mut schedule = Schedule::new(config.forwarders, config.version, rng);
+    let lists = BodyMemory::new(config.max_list_bytes);
     let mut connection = None;
     // A change of address ends the initial delay.
     if let Ok(Ok(())) = timeout(schedule.initial_delay(), address.changed()).await
@@ -86,7 +89,7 @@
         tracing::debug!(%to, ask = ?request, "asks discovery");
         let result = tokio::select! {
             biased;
-            result = timeout(request.timeout, fetch(to, request, &mut connection)) => {
+            result = timeout(request.timeout, fetch(to, request, &mut connection, config.max_list_bytes, &lists)) => {
                 result.unwrap_or(Err(WatchError::TimedOut(request.timeout)))
             }
             Ok(()) = address.changed() => {
@@ -128,6 +131,8 @@
     to: SocketAddr,
     request: WatchRequest,
     idle: &mut Option<Connection>,
+    max_list_bytes: usize,
+    lists: &Arc<BodyMemory>,
 ) -> Result<EndpointList, WatchError> {
     let path = match request.version {
         Some(version) => format!("/api/targets?index={version}&wait={}", request.wait.as_millis()),
@@ -135,7 +140,7 @@
     };
     let is_reused = idle.as_ref().is_some_and(Connection::is_open);
     if !is_reused {
-        *idle = Some(Connection::open(to, CONNECT_TIMEOUT).await?);
+        *idle = Some(Connection::open(to, CONNECT_TIMEOUT, lists.clone()).await?);
     }
     let connection = idle.as_mut().ok_or(WatchError::ConnectionLost)?;
     let known_version = request.version;
@@ -144,12 +149,13 @@
     connection::set_host(&mut request, to);
     let response = connection.send(request, None).await.map_err(|_| WatchError::ConnectionLost)?;
     let text = match response.status() {
-        StatusCode::OK => connection::read_body(response.into_body(), MAX_LIST_BYTES)
+        StatusCode::OK => connection
+            .collect_body(response.into_body(), max_list_bytes)
             .await
-            .ok_or(WatchError::ConnectionLost)?,
+            .map_err(|_| WatchError::ConnectionLost)?,
         status => return Err(WatchError::Status(status)),
     };
-    let list: EndpointList = serde_json::from_slice(&text)?;
+    let list: EndpointList = serde_json::from_slice(&text.bytes)?;
     // A discovery that has lost versions is believed on a new connection.
     if is_reused && known_version.is_some_and(|known| list.version < known) {
         return Err(WatchError::Copy(list.version));
--- a/crates/http/src/notices.rs
+++ b/crates/http/src/notices.rs
@@ -3,6 +3,7 @@
 //! An acknowledgement does not name the notices that it belongs to. Each batch is therefore sent on a connection
 //! of its own, where no copy of another's acknowledgement can arrive.
 
+use crate::body_memory::BodyMemory;
 use crate::connection::{self, Connection};
 use crate::log_limit::LogLimit;
 use bytes::Bytes;
@@ -20,6 +21,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time limit for the complete response to a batch.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest body of a response.
+const MAX_RESPONSE_BYTES: usize = 64 << 10;
 /// Delay between a failed attempt and the next.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -75,11 +78,15 @@
     *request.method_mut() = Method::POST;
     *request.uri_mut() = hyper::Uri::from_static("/v1/notices");
     connection::set_host(&mut request, to);
-    let mut connection = Connection::open(to, CONNECT_TIMEOUT).await.map_err(NoticeError::Connect)?;
+    // The body of an acknowledgement is not kept.
+    let bodies = BodyMemory::new(0);
+    let opening = Connection::open(to, CONNECT_TIMEOUT, bodies);
+    let mut connection = opening.await.map_err(NoticeError::Connect)?;
     let exchange = async {
         let response = connection.send(request, None).await.ok()?;
         let status = response.status();
-        connection::read_body(response.into_body(), 1 << 16).await.map(|_| status)
+        connection::discard_body(response.into_body(), MAX_RESPONSE_BYTES, |_| ()).await.ok()?;
+        Some(status)
     };
     match timeout(RESPONSE_TIMEOUT, exchange).await {
         Ok(Some(StatusCode::NO_CONTENT)) => Ok(()),
--- a/crates/http/src/own_response.rs
+++ b/crates/http/src/own_response.rs
@@ -100,7 +100,7 @@
         response = match connection.further_response(MAX_BATCH_WAIT).await {
             Further::Nothing | Further::End => return Err(CallError::MayHaveRun),
             Further::Response(Err(_)) => return Err(CallError::Malformed),
-            Further::Response(Ok(further)) => read(further, true).await,
+            Further::Response(Ok(further)) => read(connection, further, true).await,
         };
     }
     if response.is_ok() && ids.is_empty() {
@@ -147,7 +147,7 @@
             Further::End if response.closes => return Ok(response),
             Further::End => return Err(CallError::MayHaveRun),
             Further::Response(Err(_)) => return Err(CallError::Malformed),
-            Further::Response(Ok(further)) => read(further, is_batch).await,
+            Further::Response(Ok(further)) => read(connection, further, is_batch).await,
         };
         tracing::debug!(
             connection = connection.id,
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -1,5 +1,6 @@
 //! The engine's transport over HTTP/1.1: one task for each call, and a pool of idle connections.
 
+use crate::body_memory::BodyMemory;
 use crate::calls;
 use crate::gate_handle::GateHandle;
 use crate::idle::{CheckIn, IdleConnections, PoolState, lock};
@@ -15,6 +16,9 @@
 /// that no request crosses the peer's close.
 const IDLE_MARGIN_DIVISOR: u32 = 8;
 
+/// Default of the limit on the memory for bodies of responses.
+const DEFAULT_BODY_BYTES: usize = 4 << 20;
+
 /// Makes calls over HTTP/1.1, each in its own task, and keeps idle connections for later calls.
 ///
 /// ```
@@ -26,6 +30,8 @@
 pub struct Pool {
     state: Arc<Mutex<PoolState>>,
     max_idle_age: Duration,
+    /// Memory for the bodies of responses.
+    bodies: Arc<BodyMemory>,
     gate: GateHandle,
 }
 
@@ -36,7 +42,15 @@
         let state =
             PoolState { endpoints: HashMap::new(), idle: 0, opening: 0, resting: VecDeque::new(), max_idle };
         let max_idle_age = idle_timeout - idle_timeout / IDLE_MARGIN_DIVISOR;
-        Pool { state: Arc::new(Mutex::new(state)), max_idle_age, gate: GateHandle::default() }
+        let (state, bodies) = (Arc::new(Mutex::new(state)), BodyMemory::new(DEFAULT_BODY_BYTES));
+        Pool { state, max_idle_age, bodies, gate: GateHandle::default() }
+    }
+
+    /// Sets the limit (KiB) of the memory for bodies of responses.
+    #[must_use]
+    pub fn with_body_memory(mut self, body_kib: usize) -> Self {
+        self.bodies = BodyMemory::new(body_kib * 1024);
+        self
     }
 
     /// Sets a gate that is consulted just before the first byte of each call.
@@ -57,7 +71,8 @@
         let (endpoint, address) = (call.endpoint, call.address);
         let idle = self.lock().take_idle(endpoint, address);
         let check_in = CheckIn { state: self.state.clone(), endpoint, address };
-        tokio::spawn(calls::run(call, idle, results, self.gate.clone(), check_in));
+        let bodies = self.bodies.clone();
+        tokio::spawn(calls::run(call, idle, results, self.gate.clone(), check_in, bodies));
     }
 
     fn set_endpoint_address(&mut self, endpoint: EndpointId, address: Option<SocketAddr>) {
--- a/crates/http/src/response.rs
+++ b/crates/http/src/response.rs
@@ -1,10 +1,12 @@
 //! The response to a call, as it is read from its connection.
 
-use crate::connection;
-use hyper::body::Incoming;
+use crate::connection::{self, Connection};
+use bytes::Bytes;
+use hyper::body::{Body, Incoming};
 use hyper::{HeaderMap, Response, StatusCode};
 use serde::Deserialize;
-use std::hash::{DefaultHasher, Hash, Hasher};
+use std::hash::{Hash, Hasher};
+use xxhash_rust::xxh3::Xxh3Default;
 use yarrowhill_policy::api::{LimitReport, Micros};
 use yarrowhill_settings::parse_limit_report;
 
@@ -81,7 +83,11 @@
 
 /// Reads a response to its end. A truncated response is malformed: the call may have run, regardless of
 /// its status. Only a 200 for a single message is valid as soon as its status line has arrived.
-pub(crate) async fn read(response: Response<Incoming>, is_batch: bool) -> CallResponse {
+pub(crate) async fn read(
+    connection: &Connection,
+    response: Response<Incoming>,
+    is_batch: bool,
+) -> CallResponse {
     let headers = response.headers();
     let mut result = CallResponse {
         wait: header_text(headers, "wait-ms").and_then(parse_wait),
@@ -90,14 +96,15 @@
         report: header_text(headers, "srv-load").and_then(parse_report),
         ..CallResponse::status_only(response.status())
     };
-    let mut hasher = DefaultHasher::new();
-    result.status.hash(&mut hasher);
-    headers.iter().for_each(|header| header.hash(&mut hasher));
-    let body = connection::read_body(response.into_body(), MAX_RESPONSE_BYTES).await;
-    body.hash(&mut hasher);
-    result.fingerprint = hasher.finish();
+    let mut head = Xxh3Default::new();
+    result.status.hash(&mut head);
+    headers.iter().for_each(|header| header.hash(&mut head));
+    let has_states = is_batch && result.status == StatusCode::OK;
+    let mut whole = head.clone();
+    let body = read_body(connection, response.into_body(), has_states, &mut whole).await;
     result.is_complete = body.is_some();
-    if is_batch && result.status == StatusCode::OK {
+    result.fingerprint = if result.is_complete { whole.finish() } else { head.finish() };
+    if has_states {
         result.states = body.as_deref().and_then(parse_states);
         result.is_malformed = result.states.is_none();
     } else {
@@ -106,6 +113,28 @@
     result
 }
 
+/// Reads a body to its end and adds it to the hash. Only a body with the results of a batch is kept; of others an
+/// empty one is returned. Returns `None` if the body is too long, breaks off or takes too long.
+async fn read_body(
+    connection: &Connection,
+    body: Incoming,
+    is_kept: bool,
+    hasher: &mut Xxh3Default,
+) -> Option<Bytes> {
+    // The bytes of a body that cannot be read to its end matter only where it may contain another response.
+    let is_too_long = body.size_hint().lower() > MAX_RESPONSE_BYTES as u64;
+    if is_too_long && connection.history.is_empty() {
+        return None;
+    }
+    if is_kept {
+        let body = connection.collect_body(body, MAX_RESPONSE_BYTES).await.ok()?;
+        hasher.update(&body.bytes);
+        return Some(body.bytes);
+    }
+    let discarded = connection::discard_body(body, MAX_RESPONSE_BYTES, |piece| hasher.update(piece)).await;
+    discarded.ok().map(|()| Bytes::new())
+}
+
 /// Parses the results of a batch item by item, so that a malformed item does not hide the others.
 fn parse_states(body: &[u8]) -> Option<Vec<ItemState>> {
     let items: Vec<serde_json::Value> = serde_json::from_slice(body).ok()?;
--- a/crates/http/tests/calls.rs
+++ b/crates/http/tests/calls.rs
@@ -101,6 +101,29 @@
     update.ended.iter().map(|e| (e.id, e.outcome)).collect()
 }
 
+/// Guards against slots that were held by an answer too long to be read: its call ended by the deadline.
+#[tokio::test]
+async fn an_answer_that_is_said_to_have_3_gb_ends_its_call_at_once() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("port is free");
+    let to = listener.local_addr().expect("listener is bound");
+    let (inputs, mut updates) = mpsc::channel(8);
+    let (_sender, commands) = mpsc::channel(3);
+    let deadline = Instant::now() + STEP * 2;
+    let call = call(to, vec![item(1, deadline, deadline)], commands);
+    Pool::new(4, Duration::from_secs(5)).start_call(call, inputs);
+    let (mut stream, _) = listener.accept().await.expect("call connects");
+    let head = b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 3000000000\r\n\r\nx";
+    let mut text = Vec::new();
+    while !text.ends_with(b"body") {
+        stream.read_buf(&mut text).await.expect("call is written");
+    }
+    stream.write_all(head).await.expect("caller reads");
+    match timeout(STEP * 10, updates.recv()).await.expect("call ends") {
+        Some(Input::CallUpdate(end)) => assert_eq!(ended(&end), [(1, Outcome::Malformed)]),
+        other => panic!("{other:?}"),
+    }
+}
+
 #[tokio::test]
 async fn a_message_times_out_alone_where_attempts_may_overlap() {
     let (update, _stream) = first_update(true).await;
--- a/crates/http/tests/platform.rs
+++ b/crates/http/tests/platform.rs
@@ -89,7 +89,7 @@
     let (address, _) = platform(vec![list(5), list(6), list(7), list(8)], 2).await;
     let (_address, address) = watch::channel(address);
     let (engine, mut inputs) = mpsc::channel(16);
-    let config = WatchConfig { version: 1, forwarders: None, seed: 1 };
+    let config = WatchConfig { version: 1, forwarders: None, seed: 1, max_list_bytes: 1 << 20 };
     tokio::spawn(discovery::watch(address, config, engine));
     let mut versions = Vec::new();
     while versions.last() != Some(&8) {
--- a/crates/yarrowhill/src/daemon.rs
+++ b/crates/yarrowhill/src/daemon.rs
@@ -17,9 +17,9 @@
 /// Capacity of the channel of inputs to an engine.
 pub(crate) const INPUT_CHANNEL_CAPACITY: usize = 1024;
 
-/// Divisor of the memory limit for message bodies that the engine has not accepted yet. From then on the
-/// limits of the journal apply.
-pub(crate) const BODY_MEMORY_DIVISOR: usize = 8;
+/// Divisor of the memory limit for message bodies that the engine has not accepted yet (from then on the limits of
+/// the journal apply), for bodies of responses, and for an endpoint list, each.
+const BODY_MEMORY_DIVISOR: usize = 8;
 
 /// Descriptors reserved for everything but clients and endpoints: standard streams, runtime, listener,
 /// journal, discovery.
@@ -73,7 +73,13 @@
 /// forwarders.
 pub(crate) fn watch_config(config: &Config) -> WatchConfig {
     let forwarders = config.settings.must_subscribe.then_some(config.settings.senders);
-    WatchConfig { version: config.known.version, forwarders, seed: config.seed }
+    let max_list_bytes = body_memory_kib(config) * 1024;
+    WatchConfig { version: config.known.version, forwarders, seed: config.seed, max_list_bytes }
+}
+
+/// Returns the limit (KiB) of the memory for each kind of bodies that are being read.
+pub(crate) fn body_memory_kib(config: &Config) -> usize {
+    config.limits.memory_mb.max(1) * 1024 / BODY_MEMORY_DIVISOR
 }
 
 /// Reloads the configuration at each SIGHUP. The address of discovery and the fleet document take effect; all
@@ -124,7 +130,7 @@
     let (notices, batches) = mpsc::channel(1);
     tracing::debug!(settings = ?config.settings, "starts");
     let fleet = FleetMembership::join(&config).await?;
-    let watch_config = watch_config(&config);
+    let (watch_config, body_memory_kib) = (watch_config(&config), body_memory_kib(&config));
     let options = Options {
         settings: config.settings.clone(),
         names: config.names.clone(),
@@ -136,7 +142,7 @@
         shard: None,
     };
     let idle_timeout = Duration::from_micros(config.settings.idle_timeout.max(0) as u64);
-    let pool = fleet.guard_calls(Pool::new(idle, idle_timeout));
+    let pool = fleet.guard_calls(Pool::new(idle, idle_timeout).with_body_memory(body_memory_kib));
     let engine = Engine::start(options, pool, notices, inputs.clone())?;
     fleet.forward_sender_count(std::slice::from_ref(&inputs));
     let (discovery_addr, discovery_updates) = watch::channel(config.discovery);
@@ -153,7 +159,6 @@
     });
     let listener = listen(config.listen).await?;
     let (phase, phase_updates) = watch::channel(Phase::Serving);
-    let body_memory_kib = config.limits.memory_mb.max(1) * 1024 / BODY_MEMORY_DIVISOR;
     let intake = Intake::new(config.names, config.settings, inputs, phase_updates, body_memory_kib);
     let intake = fleet.guard_clients(intake);
     let server = tokio::spawn(yarrowhill_http::serve(listener, clients, Arc::new(intake)));
--- a/crates/yarrowhill/src/sharded.rs
+++ b/crates/yarrowhill/src/sharded.rs
@@ -3,8 +3,8 @@
 
 use crate::config::Config;
 use crate::daemon::{
-    BODY_MEMORY_DIVISOR, DescriptorBudget, INPUT_CHANNEL_CAPACITY, JOURNAL_BYTES_PER_DISK_MB, RunError,
-    listen, reload, watch_config,
+    DescriptorBudget, INPUT_CHANNEL_CAPACITY, JOURNAL_BYTES_PER_DISK_MB, RunError, body_memory_kib, listen,
+    reload, watch_config,
 };
 use crate::fleet::FleetMembership;
 use std::path::PathBuf;
@@ -27,6 +27,7 @@
     /// Maximum number of idle connections to endpoints.
     idle: usize,
     idle_timeout: Duration,
+    body_memory_kib: usize,
     discovery: watch::Receiver<std::net::SocketAddr>,
     inputs: Sender<Input>,
     received: Receiver<Input>,
@@ -44,7 +45,7 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let shards = config.shards;
     let fleet = FleetMembership::join(&config).await?;
-    let watch_config = watch_config(&config);
+    let (watch_config, body_memory_kib) = (watch_config(&config), body_memory_kib(&config));
     let DescriptorBudget { clients, idle } = DescriptorBudget::new(&config);
     let max_journal_bytes = (config.limits.disk_mb * JOURNAL_BYTES_PER_DISK_MB) as u64 / shards as u64;
     let journal_options =
@@ -74,6 +75,7 @@
             options,
             idle,
             idle_timeout,
+            body_memory_kib: body_memory_kib / shards,
             discovery: discovery_updates.clone(),
             inputs,
             received,
@@ -95,7 +97,6 @@
     tokio::spawn(reload(hangup, discovery_addr, fleet.clone()));
     let listener = listen(config.listen).await?;
     let (phase, phase_updates) = watch::channel(Phase::Serving);
-    let body_memory_kib = config.limits.memory_mb.max(1) * 1024 / BODY_MEMORY_DIVISOR;
     let intake = Intake::new(config.names, config.settings, engines.clone(), phase_updates, body_memory_kib);
     let intake = fleet.guard_clients(intake);
     let mut server = tokio::spawn(yarrowhill_http::serve(listener, clients, Arc::new(intake)));
@@ -152,6 +153,7 @@
         options,
         idle,
         idle_timeout,
+        body_memory_kib,
         discovery,
         inputs,
         received,
@@ -166,7 +168,7 @@
     };
     runtime.block_on(async move {
         let (notices, batches) = mpsc::channel(1);
-        let pool = fleet.guard_calls(Pool::new(idle, idle_timeout));
+        let pool = fleet.guard_calls(Pool::new(idle, idle_timeout).with_body_memory(body_memory_kib));
         let engine = match Engine::start(options, pool, notices, inputs.clone()) {
             Ok(engine) => engine,
             Err(e) => return drop(started.send(Err(e.into()))),
--- a/crates/yarrowhill/tests/memory.rs
+++ b/crates/yarrowhill/tests/memory.rs
@@ -4,11 +4,13 @@
 mod support;
 
 use serde_json::{Value, json};
+use std::io::Write;
 use std::net::SocketAddr;
 use std::time::Duration;
-use support::{Discovery, Forwarder, RawConnection, Stub, target};
+use support::{Discovery, Forwarder, RawConnection, RawServer, Stub, target};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
@@ -159,3 +161,92 @@
     };
     clients_that_stop(340, client).await;
 }
+
+/// A target whose answers do not end.
+#[derive(Clone, Copy)]
+struct EndlessAnswers {
+    /// Status line and headers of an answer.
+    head: &'static str,
+    /// What follows again and again, until the forwarder has closed the connection.
+    piece: &'static str,
+    /// Time between two pieces.
+    gap: Duration,
+}
+
+impl EndlessAnswers {
+    /// Answers calls, and reports the text of each. The target has one call on each connection.
+    async fn serve(self, target: RawServer, calls: mpsc::UnboundedSender<String>) {
+        loop {
+            let (mut connection, calls) = (target.accept().await, calls.clone());
+            tokio::spawn(async move {
+                calls.send(connection.request().await).expect("the test counts calls");
+                let stream = connection.0.into_std().expect("the socket is open");
+                tokio::task::spawn_blocking(move || self.write_until_closed(stream));
+            });
+        }
+    }
+
+    /// Writes an answer in a thread of its own, since the runtime's timer is coarser than the gaps.
+    fn write_until_closed(self, mut stream: std::net::TcpStream) {
+        stream.set_nonblocking(false).and_then(|()| stream.set_nodelay(true)).expect("the socket is open");
+        let mut is_open = stream.write_all(self.head.as_bytes()).is_ok();
+        while is_open {
+            std::thread::sleep(self.gap);
+            is_open = stream.write_all(self.piece.as_bytes()).is_ok();
+        }
+    }
+
+    /// Submits messages for 2 s to a forwarder whose only target is this one. Returns how many of them the target
+    /// had, and how many calls.
+    async fn run(self, model: &str) -> (usize, usize) {
+        let discovery = Discovery::start().await;
+        let target_server = RawServer::start().await;
+        let mut known = [target("t", target_server.addr, 7, model, "in_service")];
+        known[0]["capacity_hint"] = json!(200.0);
+        let forwarder = Forwarder::start(&discovery, &known, |c| {
+            smallest_limits(c);
+            c["settings"]["familyInfo"]["slots"] = json!(200);
+        })
+        .await;
+        let (report, mut reported) = mpsc::unbounded_channel();
+        let target_task = tokio::spawn(self.serve(target_server, report));
+        serve_beside(&forwarder, sleep(Duration::from_secs(2))).await;
+        target_task.abort();
+        let mut calls = Vec::new();
+        while let Ok(call) = reported.try_recv() {
+            calls.push(call);
+        }
+        let count = calls.len();
+        let id =
+            |call: &String| call.lines().find(|l| l.to_lowercase().starts_with("req-id")).map(str::to_owned);
+        let mut ids: Vec<_> = calls.iter().filter_map(id).collect();
+        ids.sort();
+        ids.dedup();
+        (ids.len(), count)
+    }
+}
+
+/// Guards against a buffer of 8 KiB that was held for each piece of an answer: the process was killed for memory.
+/// The status line alone tells that the message is delivered.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn an_answer_of_3_gb_in_short_pieces_takes_no_memory_and_delivers() {
+    let answers = EndlessAnswers {
+        head: "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n",
+        piece: "xxxxxxxxxxxxxxxx",
+        gap: Duration::from_micros(250),
+    };
+    let (messages, calls) = answers.run("plain").await;
+    assert!(messages > 20 && messages == calls, "{calls} calls of {messages} messages");
+}
+
+/// As above, where no length is announced.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn an_answer_in_short_chunks_takes_no_memory_and_delivers() {
+    let answers = EndlessAnswers {
+        head: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        piece: "10\r\nxxxxxxxxxxxxxxxx\r\n",
+        gap: Duration::from_micros(250),
+    };
+    let (messages, calls) = answers.run("plain").await;
+    assert!(messages > 20 && messages == calls, "{calls} calls of {messages} messages");
+}
