Let other tasks run between the answers to readiness checks

What callers saw: beside 340 connections that sent GET /-/ready without end, 156 of 234 notices came later than 0.35 s after their message's end, and usual clients waited 72 ms in the median.

Cause: all connections and the engine share a thread, and a connection whose requests have arrived answered 64 of them and more before another task ran.

Evidence: the median answer takes as long as one pass over 340 connections with some sixteen answers each. Requests that wait for the engine, or close their connection, do not show it.

Change: a readiness check yields before its answer, and so does a closing connection between two reads of what it discards.

Why it works: a pass over all tasks has one answer of each connection, whatever has arrived on it.

--- a/crates/http/src/clients.rs
+++ b/crates/http/src/clients.rs
@@ -347,6 +347,8 @@
             if read == 0 || left == 0 {
                 return;
             }
+            // Many clients that go on sending must not delay others.
+            yield_now().await;
         }
     };
     let _ = timeout(LINGER_TIMEOUT, discard).await;
--- a/crates/http/src/intake.rs
+++ b/crates/http/src/intake.rs
@@ -13,6 +13,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{oneshot, watch};
+use tokio::task::yield_now;
 use yarrowhill_engine::{Answer, EngineSenders, Input, Phase, Submission};
 use yarrowhill_policy::api::{Effect, Settings};
 use yarrowhill_settings::{Names, index_of, normalize_name};
@@ -79,8 +80,7 @@
             _ if ambiguous => status(StatusCode::BAD_REQUEST),
             // Messages must carry a length: without chunked bodies the end of a body is never in doubt.
             _ if request.headers().contains_key(TRANSFER_ENCODING) => status(StatusCode::LENGTH_REQUIRED),
-            (&Method::GET, "/-/ready") if self.gate.is_ready() => status(StatusCode::OK),
-            (&Method::GET, "/-/ready") => status(StatusCode::SERVICE_UNAVAILABLE),
+            (&Method::GET, "/-/ready") => self.readiness().await,
             (&Method::POST, path) if path.len() > 1 => match self.submit(request).await {
                 Ok(answer) => reply(answer),
                 Err(rejection) => rejection.reply(),
@@ -95,6 +95,13 @@
         reply
     }
 
+    async fn readiness(&self) -> Reply {
+        // The answer needs nothing that would let another task run. Many connections that ask without end, each for
+        // several answers at a time, would delay all others.
+        yield_now().await;
+        status(if self.gate.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
+    }
+
     async fn submit(&self, request: Request<Incoming>) -> Result<Answer, Rejection> {
         let (parts, body) = request.into_parts();
         // The headers, and the buffer that they were read into, are released before the body is read.
