Let 1,024 connections wait to be accepted

What callers saw: while 340 bad clients came back in bursts, six of 234 other clients on new connections got no answer within the 400 ms that they wait.

Cause: the listener's backlog was the library's 128. The system drops what exceeds it, and the client's system tries again after a second.

Evidence: the missing answers came with the bursts, the system's count of overflows grew, and with the process stopped the 130th connection was not established. Ruled out: refusals, which are answered, and a loop that was held up, since kept connections had their answers within 0.14 s.

Change and why it works: a backlog of 1,024, three times what bad clients may hold of the 1,024 descriptors.

--- a/crates/yarrowhill/src/daemon.rs
+++ b/crates/yarrowhill/src/daemon.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use yarrowhill_engine::{Engine, Input, JournalError, Options, Phase};
@@ -25,6 +25,10 @@
 /// journal, discovery.
 const RESERVED_DESCRIPTORS: usize = 20;
 
+/// Number of connections that may wait to be accepted. The system drops what exceeds it, and a client tries again
+/// only after a second, when it no longer waits for an answer.
+const LISTEN_BACKLOG: u32 = 1024;
+
 /// Bytes that the journal may take for each megabyte of the disk limit. The remaining 5 % allow for the
 /// rounding of file sizes.
 pub(crate) const JOURNAL_BYTES_PER_DISK_MB: f64 = 0.95e6;
@@ -101,9 +105,15 @@
 }
 
 /// Listens for clients. An error names the address.
-pub(crate) async fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let to_error = |e: io::Error| io::Error::new(e.kind(), format!("cannot listen on {address}: {e}"));
-    TcpListener::bind(address).await.map_err(to_error)
+pub(crate) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let bind = || {
+        let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        // Connections of an earlier process may still be closing at the address.
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(LISTEN_BACKLOG)
+    };
+    bind().map_err(|e| io::Error::new(e.kind(), format!("cannot listen on {address}: {e}")))
 }
 
 /// Runs the forwarder until SIGTERM.
@@ -157,7 +167,7 @@
         // The channel is closed only when the process ends.
         let _ = shutdown_input.send(Input::Shutdown).await;
     });
-    let listener = listen(config.listen).await?;
+    let listener = listen(config.listen)?;
     let (phase, phase_updates) = watch::channel(Phase::Serving);
     let intake = Intake::new(config.names, config.settings, inputs, phase_updates, body_memory_kib);
     let intake = fleet.guard_clients(intake);
--- a/crates/yarrowhill/src/sharded.rs
+++ b/crates/yarrowhill/src/sharded.rs
@@ -95,7 +95,7 @@
     tokio::spawn(discovery::watch(discovery_updates, watch_config, lists));
     tokio::spawn(distribute_lists(received_lists, engines.clone()));
     tokio::spawn(reload(hangup, discovery_addr, fleet.clone()));
-    let listener = listen(config.listen).await?;
+    let listener = listen(config.listen)?;
     let (phase, phase_updates) = watch::channel(Phase::Serving);
     let intake = Intake::new(config.names, config.settings, engines.clone(), phase_updates, body_memory_kib);
     let intake = fleet.guard_clients(intake);
--- a/crates/yarrowhill/tests/rare.rs
+++ b/crates/yarrowhill/tests/rare.rs
@@ -628,3 +628,23 @@
     next.request().await;
     assert!(answered_at.elapsed() >= Duration::from_secs(4), "called after {:?}", answered_at.elapsed());
 }
+
+// ---- Bursts of connections ----
+
+/// Guards against connections that the system drops because too many wait to be accepted: the client tries again
+/// only after a second, when it no longer waits for its answer.
+#[tokio::test]
+async fn a_burst_of_connections_is_established_while_the_process_is_held_up() {
+    let (discovery, stub) = (Discovery::start().await, Stub::start().await);
+    let known = [target("t", stub.addr, 7, "plain", "in_service")];
+    let forwarder = Forwarder::start(&discovery, &known, |c| c["limits"]["sockets"] = json!(1024)).await;
+    forwarder.pause().await;
+    let mut connections = Vec::new();
+    // A third of the descriptors.
+    for n in 0..340 {
+        let connecting = timeout(Duration::from_millis(400), TcpStream::connect(forwarder.addr)).await;
+        connections.push(connecting.unwrap_or_else(|_| panic!("connection {n} is not established")));
+    }
+    forwarder.resume();
+    assert_eq!(forwarder.submit("keyed", "m", 1000).await.status(), 202);
+}
