Write a call only where the newest list has its destination

What callers saw: an endpoint went, another destination's came up at its address, and 27 calls in eight such swaps reached the wrong destination, 1.8 to 3.1 ms after the agent had the list.

Cause: a list takes effect with the engine's next turn, up to 5 ms after it was read. The messages of the connections that had ended were decided on in the turn before, and written in between.

Evidence: in the debug log a call is decided on at 51.85 ms, the list is read at 52.54, the call is written at 52.64, and the next turn begins at 58.0. With the old connections left open none goes wrong. Ruled out: connections kept by address, and ids that are used again.

Change: calls know the addresses of a list as soon as it is read, and are written only where their destination has an endpoint.

Why it works: the check is the last one before the first byte, and needs no turn.

The new test in rare.rs failed before.

--- a/crates/http/src/calls.rs
+++ b/crates/http/src/calls.rs
@@ -4,6 +4,7 @@
 use crate::connection::{CancelHandle, Connection, SendError};
 use crate::gate_handle::GateHandle;
 use crate::idle::{CheckIn, RestingPlace};
+use crate::listed::ListedAddresses;
 use crate::outcomes::{delivered, end, outcomes};
 use crate::own_response::{WaitReports, own_response, rest, settle};
 use crate::request::request;
@@ -37,16 +38,27 @@
 /// Where another endpoint can take the messages, a call waits for its connection only for the connect
 /// timeout divided by this.
 const EARLY_CONNECT_DIVISOR: u32 = 4;
+
+/// What the calls of a pool share.
+#[derive(Clone, Debug)]
+pub(crate) struct CallContext {
+    pub(crate) gate: GateHandle,
+    /// Memory for the bodies of responses.
+    pub(crate) bodies: Arc<BodyMemory>,
+    /// Without it, the engine alone knows the list.
+    pub(crate) listed: Option<ListedAddresses>,
+}
+
 /// Makes a call, on an idle connection if there is one, and reports its outcomes to the engine. A connection
 /// that can be used again is returned to the pool first.
 pub(crate) async fn run(
     mut call: Call,
     mut connection: Option<Connection>,
     results: Sender<Input>,
-    gate: GateHandle,
     check_in: CheckIn,
-    bodies: Arc<BodyMemory>,
+    context: CallContext,
 ) {
+    let CallContext { gate, bodies, listed } = context;
     let (waiting, now) = (std::mem::take(&mut call.items), Instant::now());
     let mut pending = PendingCall {
         call,
@@ -106,8 +118,11 @@
         // The steps before may have taken any time, and commands may have come just as the connection opened.
         pending.expire(Stage::Connecting, Instant::now());
         pending.apply_queued_commands();
-        // Last check before a byte is written: the process may have been suspended since the decision.
-        let request = request(&pending.waiting, pending.call.address).filter(|_| gate.may_send());
+        // Last checks before a byte is written: the process may have been suspended since the decision, and a list
+        // may have come that the engine has not applied yet.
+        let (address, dest) = (pending.call.address, pending.call.dest);
+        let is_listed = listed.as_ref().is_none_or(|listed| listed.contains(address, dest));
+        let request = request(&pending.waiting, address).filter(|_| is_listed && gate.may_send());
         let (Some(request), Some(open)) = (request, &mut connection) else {
             // Every attempt must be reported to the engine: one that never ends occupies its slot for ever.
             pending.end_matching(Outcome::NotSent, |_| true);
--- a/crates/http/src/discovery.rs
+++ b/crates/http/src/discovery.rs
@@ -3,6 +3,7 @@
 
 use crate::body_memory::BodyMemory;
 use crate::connection::{self, Connection};
+use crate::listed::ListedAddresses;
 use crate::schedule::{FailureKind, Schedule, WatchRequest};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -68,10 +69,16 @@
     pub max_list_bytes: usize,
 }
 
-/// Watches the endpoint list without end and passes each list to the engine in the order received. When the
+/// Watches the endpoint list without end and passes each list to the engine in the order received. Calls know the
+/// addresses in it by `listed` before the engine does. When the
 /// address changes, the watch at the old address is cancelled and the full list is requested from the new
 /// one, because the old service may have fallen behind.
-pub async fn watch(mut address: watch::Receiver<SocketAddr>, config: WatchConfig, engine: Sender<Input>) {
+pub async fn watch(
+    mut address: watch::Receiver<SocketAddr>,
+    config: WatchConfig,
+    listed: ListedAddresses,
+    engine: Sender<Input>,
+) {
     let rng = ChaCha8Rng::seed_from_u64(config.seed);
     let mut schedule = Schedule::new(config.forwarders, config.version, rng);
     let lists = BodyMemory::new(config.max_list_bytes);
@@ -105,6 +112,7 @@
             Ok(list) => {
                 tracing::debug!(rev = list.version, all = list.is_full, lines = ?list.endpoints, "list");
                 schedule.succeeded(list.version);
+                listed.apply(&list);
                 if engine.send(Input::List(list)).await.is_err() {
                     return;
                 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -10,7 +10,8 @@
 //!   that counts by itself
 //! - `calls`, `pool`: calls; the engine's transport; `request`, `response`, `outcomes`: what a call sends, what
 //!   comes back, and what that says about its messages; `own_response`: which response answers a call
-//! - `discovery`, `notices`: requests to the platform; `schedule`: when to request the endpoint list
+//! - `discovery`, `notices`: requests to the platform; `schedule`: when to request the endpoint list; `listed`:
+//!   the addresses in it, known to calls before the engine applies it
 //!
 //! All input is bounded: the sizes of heads, bodies, responses and lists, and the time that each may take.
 
@@ -24,6 +25,7 @@
 mod head_scanner;
 mod idle;
 mod intake;
+mod listed;
 mod log_limit;
 pub mod notices;
 mod observed;
@@ -37,4 +39,5 @@
 
 pub use clients::serve;
 pub use intake::Intake;
+pub use listed::ListedAddresses;
 pub use pool::Pool;
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -1,9 +1,10 @@
 //! The engine's transport over HTTP/1.1: one task for each call, and a pool of idle connections.
 
 use crate::body_memory::BodyMemory;
-use crate::calls;
+use crate::calls::{self, CallContext};
 use crate::gate_handle::GateHandle;
 use crate::idle::{CheckIn, IdleConnections, PoolState, lock};
+use crate::listed::ListedAddresses;
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -30,9 +31,7 @@
 pub struct Pool {
     state: Arc<Mutex<PoolState>>,
     max_idle_age: Duration,
-    /// Memory for the bodies of responses.
-    bodies: Arc<BodyMemory>,
-    gate: GateHandle,
+    context: CallContext,
 }
 
 impl Pool {
@@ -42,14 +41,25 @@
         let state =
             PoolState { endpoints: HashMap::new(), idle: 0, opening: 0, resting: VecDeque::new(), max_idle };
         let max_idle_age = idle_timeout - idle_timeout / IDLE_MARGIN_DIVISOR;
-        let (state, bodies) = (Arc::new(Mutex::new(state)), BodyMemory::new(DEFAULT_BODY_BYTES));
-        Pool { state, max_idle_age, bodies, gate: GateHandle::default() }
+        let context = CallContext {
+            gate: GateHandle::default(),
+            bodies: BodyMemory::new(DEFAULT_BODY_BYTES),
+            listed: None,
+        };
+        Pool { state: Arc::new(Mutex::new(state)), max_idle_age, context }
     }
 
     /// Sets the limit (KiB) of the memory for bodies of responses.
     #[must_use]
     pub fn with_body_memory(mut self, body_kib: usize) -> Self {
-        self.bodies = BodyMemory::new(body_kib * 1024);
+        self.context.bodies = BodyMemory::new(body_kib * 1024);
+        self
+    }
+
+    /// Sets the listed addresses: a call is written only to one where its destination has an endpoint.
+    #[must_use]
+    pub fn with_listed_addresses(mut self, listed: ListedAddresses) -> Self {
+        self.context.listed = Some(listed);
         self
     }
 
@@ -57,7 +67,7 @@
     #[cfg(feature = "gate")]
     #[must_use]
     pub fn with_gate(mut self, gate: Option<Arc<dyn yarrowhill_engine::Gate>>) -> Self {
-        self.gate = GateHandle::new(gate);
+        self.context.gate = GateHandle::new(gate);
         self
     }
 
@@ -71,8 +81,7 @@
         let (endpoint, address) = (call.endpoint, call.address);
         let idle = self.lock().take_idle(endpoint, address);
         let check_in = CheckIn { state: self.state.clone(), endpoint, address };
-        let bodies = self.bodies.clone();
-        tokio::spawn(calls::run(call, idle, results, self.gate.clone(), check_in, bodies));
+        tokio::spawn(calls::run(call, idle, results, check_in, self.context.clone()));
     }
 
     fn set_endpoint_address(&mut self, endpoint: EndpointId, address: Option<SocketAddr>) {
--- a/crates/http/tests/platform.rs
+++ b/crates/http/tests/platform.rs
@@ -7,9 +7,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Mutex, mpsc, watch};
 use tokio::time::{sleep, timeout};
-use yarrowhill_engine::{Input, Notice, NoticeEnd};
+use yarrowhill_engine::{EndpointList, Input, Notice, NoticeEnd};
 use yarrowhill_http::discovery::{self, WatchConfig};
-use yarrowhill_http::notices;
+use yarrowhill_http::{ListedAddresses, notices};
 
 const TIMEOUT: Duration = Duration::from_secs(5);
 /// Time after which a copy of an answer comes, and for which the next request is out at least.
@@ -89,8 +89,9 @@
     let (address, _) = platform(vec![list(5), list(6), list(7), list(8)], 2).await;
     let (_address, address) = watch::channel(address);
     let (engine, mut inputs) = mpsc::channel(16);
+    let known = EndpointList { version: 1, is_full: true, endpoints: Vec::new() };
     let config = WatchConfig { version: 1, forwarders: None, seed: 1, max_list_bytes: 1 << 20 };
-    tokio::spawn(discovery::watch(address, config, engine));
+    tokio::spawn(discovery::watch(address, config, ListedAddresses::new(&known), engine));
     let mut versions = Vec::new();
     while versions.last() != Some(&8) {
         match timeout(TIMEOUT, inputs.recv()).await.expect("the list is sent") {
--- a/crates/yarrowhill/src/daemon.rs
+++ b/crates/yarrowhill/src/daemon.rs
@@ -12,7 +12,7 @@
 use tokio::sync::{mpsc, watch};
 use yarrowhill_engine::{Engine, Input, JournalError, Options, Phase};
 use yarrowhill_http::discovery::{self, WatchConfig};
-use yarrowhill_http::{Intake, Pool, notices};
+use yarrowhill_http::{Intake, ListedAddresses, Pool, notices};
 
 /// Capacity of the channel of inputs to an engine.
 pub(crate) const INPUT_CHANNEL_CAPACITY: usize = 1024;
@@ -139,6 +139,7 @@
     let (inputs, received) = mpsc::channel(INPUT_CHANNEL_CAPACITY);
     let (notices, batches) = mpsc::channel(1);
     tracing::debug!(settings = ?config.settings, "starts");
+    let listed = ListedAddresses::new(&config.known);
     let fleet = FleetMembership::join(&config).await?;
     let (watch_config, body_memory_kib) = (watch_config(&config), body_memory_kib(&config));
     let options = Options {
@@ -152,11 +153,13 @@
         shard: None,
     };
     let idle_timeout = Duration::from_micros(config.settings.idle_timeout.max(0) as u64);
-    let pool = fleet.guard_calls(Pool::new(idle, idle_timeout).with_body_memory(body_memory_kib));
+    let pool = fleet.guard_calls(
+        Pool::new(idle, idle_timeout).with_body_memory(body_memory_kib).with_listed_addresses(listed.clone()),
+    );
     let engine = Engine::start(options, pool, notices, inputs.clone())?;
     fleet.forward_sender_count(std::slice::from_ref(&inputs));
     let (discovery_addr, discovery_updates) = watch::channel(config.discovery);
-    tokio::spawn(discovery::watch(discovery_updates.clone(), watch_config, inputs.clone()));
+    tokio::spawn(discovery::watch(discovery_updates.clone(), watch_config, listed, inputs.clone()));
     tokio::spawn(notices::send_all(discovery_updates, batches, inputs.clone()));
     tokio::spawn(reload(hangup, discovery_addr, fleet.clone()));
     let shutdown_input = inputs.clone();
--- a/crates/yarrowhill/src/sharded.rs
+++ b/crates/yarrowhill/src/sharded.rs
@@ -19,7 +19,7 @@
     CapacityPool, Engine, EngineSenders, Input, Options, Phase, QuotaShares, Shard, distribute_lists,
     shard_list, shard_of, shard_settings, unix_now_ms,
 };
-use yarrowhill_http::{Intake, Pool, discovery, notices};
+use yarrowhill_http::{Intake, ListedAddresses, Pool, discovery, notices};
 
 /// What the thread of one shard needs.
 struct ShardContext {
@@ -28,6 +28,7 @@
     idle: usize,
     idle_timeout: Duration,
     body_memory_kib: usize,
+    listed: ListedAddresses,
     discovery: watch::Receiver<std::net::SocketAddr>,
     inputs: Sender<Input>,
     received: Receiver<Input>,
@@ -46,6 +47,7 @@
     let shards = config.shards;
     let fleet = FleetMembership::join(&config).await?;
     let (watch_config, body_memory_kib) = (watch_config(&config), body_memory_kib(&config));
+    let listed = ListedAddresses::new(&config.known);
     let DescriptorBudget { clients, idle } = DescriptorBudget::new(&config);
     let max_journal_bytes = (config.limits.disk_mb * JOURNAL_BYTES_PER_DISK_MB) as u64 / shards as u64;
     let journal_options =
@@ -76,6 +78,7 @@
             idle,
             idle_timeout,
             body_memory_kib: body_memory_kib / shards,
+            listed: listed.clone(),
             discovery: discovery_updates.clone(),
             inputs,
             received,
@@ -92,7 +95,7 @@
     fleet.forward_sender_count(&engines);
     let engines = EngineSenders::new(engines);
     let (lists, received_lists) = mpsc::channel(INPUT_CHANNEL_CAPACITY);
-    tokio::spawn(discovery::watch(discovery_updates, watch_config, lists));
+    tokio::spawn(discovery::watch(discovery_updates, watch_config, listed, lists));
     tokio::spawn(distribute_lists(received_lists, engines.clone()));
     tokio::spawn(reload(hangup, discovery_addr, fleet.clone()));
     let listener = listen(config.listen)?;
@@ -154,6 +157,7 @@
         idle,
         idle_timeout,
         body_memory_kib,
+        listed,
         discovery,
         inputs,
         received,
@@ -168,7 +172,9 @@
     };
     runtime.block_on(async move {
         let (notices, batches) = mpsc::channel(1);
-        let pool = fleet.guard_calls(Pool::new(idle, idle_timeout).with_body_memory(body_memory_kib));
+        let pool = fleet.guard_calls(
+            Pool::new(idle, idle_timeout).with_body_memory(body_memory_kib).with_listed_addresses(listed),
+        );
         let engine = match Engine::start(options, pool, notices, inputs.clone()) {
             Ok(engine) => engine,
             Err(e) => return drop(started.send(Err(e.into()))),
--- a/crates/yarrowhill/tests/rare.rs
+++ b/crates/yarrowhill/tests/rare.rs
@@ -48,6 +48,32 @@
     assert_eq!(full.received_bytes(), 0, "the call was written");
 }
 
+/// Guards against work that goes to the wrong partner: a list was read that has another destination's endpoint at
+/// the address of one that is gone, and a call decided on before was written before the next turn applied it.
+#[tokio::test]
+async fn does_not_write_a_call_to_an_address_that_has_passed_to_another_destination() {
+    let (discovery, mut full) = (Discovery::start().await, FullBacklog::start().await);
+    let known = [target("t", full.addr, 7, "plain", "in_service")];
+    let forwarder = Forwarder::start(&discovery, &known, |c| {
+        c["settings"]["limits"]["connectTimeout"] = json!(9000.0);
+        // Longer than it takes for the connection to be established.
+        c["settings"]["round"] = json!(4000.0);
+    })
+    .await;
+    assert_eq!(forwarder.submit("keyed", "m", 20_000).await.status(), 202);
+    sleep(QUIET).await;
+    discovery.push(
+        2,
+        vec![
+            target("t", full.addr, 7, "plain", "terminated"),
+            target("u", full.addr, 8, "plain", "in_service"),
+        ],
+    );
+    sleep(QUIET).await;
+    full.accept_for(Duration::from_secs(3)).await;
+    assert_eq!(full.received_bytes(), 0, "the call was written");
+}
+
 /// The program is stopped (SIGSTOP) while a connection is established and the drain of its endpoint is
 /// announced. When it resumes, both events are pending.
 #[tokio::test]
