Give a connection's history of responses a file of its own

Need: connection, own_response and response imported one another in a circle.

Change: ResponseHistory is in response_history, takes fingerprints in place of responses, and imports nothing of the package. Behaviour is unchanged.

--- a/crates/http/src/calls.rs
+++ b/crates/http/src/calls.rs
@@ -508,6 +508,6 @@
         took = ?sent_at.elapsed(),
         "response"
     );
-    open.history.remember(&response, sent_at.elapsed());
+    open.history.remember(response.fingerprint, sent_at.elapsed());
     Ok(response)
 }
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -8,7 +8,7 @@
 use crate::body::{self, BodyError};
 use crate::body_memory::{BodyMemory, CompleteBody};
 use crate::observed::{ObservedStream, StreamObserver};
-use crate::own_response::ResponseHistory;
+use crate::response_history::ResponseHistory;
 use crate::status_line::{NestedStatusLine, Received, StatusLineParser};
 use bytes::Bytes;
 use http_body_util::Full;
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -9,7 +9,8 @@
 //! - `connection`: one outgoing connection that never resends a request; `status_line`: the part of a response
 //!   that counts by itself
 //! - `calls`, `pool`: calls; the engine's transport; `request`, `response`, `outcomes`: what a call sends, what
-//!   comes back, and what that says about its messages; `own_response`: which response answers a call
+//!   comes back, and what that says about its messages; `own_response`, `response_history`: which response
+//!   answers a call
 //! - `discovery`, `notices`: requests to the platform; `schedule`: when to request the endpoint list; `listed`:
 //!   the addresses in it, known to calls before the engine applies it
 //!
@@ -34,6 +35,7 @@
 mod pool;
 mod request;
 mod response;
+mod response_history;
 mod schedule;
 mod status_line;
 
--- a/crates/http/src/own_response.rs
+++ b/crates/http/src/own_response.rs
@@ -9,7 +9,6 @@
 
 use crate::connection::{Connection, Further};
 use crate::response::{CallError, CallResponse, read};
-use std::collections::VecDeque;
 use std::time::Duration;
 use tokio::sync::mpsc::Sender;
 use tokio::time::Instant;
@@ -18,54 +17,11 @@
 
 /// Minimum time after a response during which its connection carries no other call.
 const MIN_REST: Duration = Duration::from_millis(500);
-/// Bounds of the time for which a response may be followed by another one, if it is a copy.
-const MIN_PROVISIONAL: Duration = Duration::from_millis(250);
-const MAX_PROVISIONAL: Duration = Duration::from_millis(1000);
-/// Multiple of the connection's slowest response after which a response to the call is overdue.
-const OVERDUE_FACTOR: u32 = 2;
 /// Longest time for which the response to a batch is awaited behind one of another call. The deadlines of its
 /// messages end the wait sooner.
 const MAX_BATCH_WAIT: Duration = Duration::from_secs(60);
 /// Maximum number of responses that are read behind that of a call.
 const MAX_FURTHER: usize = 8;
-/// Number of earlier responses of a connection that are remembered.
-const MAX_REMEMBERED: usize = 32;
-
-/// The responses that a connection has carried.
-#[derive(Debug, Default)]
-pub(crate) struct ResponseHistory {
-    /// Fingerprints of the last responses, without repetitions.
-    fingerprints: VecDeque<u64>,
-    slowest: Duration,
-}
-
-impl ResponseHistory {
-    /// Returns whether the connection has carried no response yet, so that a copy of one cannot arrive.
-    pub(crate) fn is_empty(&self) -> bool {
-        self.fingerprints.is_empty()
-    }
-
-    /// Remembers a response that came `elapsed` after its request.
-    pub(crate) fn remember(&mut self, response: &CallResponse, elapsed: Duration) {
-        self.slowest = self.slowest.max(elapsed);
-        if !self.contains(response) {
-            if self.fingerprints.len() == MAX_REMEMBERED {
-                self.fingerprints.pop_front();
-            }
-            self.fingerprints.push_back(response.fingerprint);
-        }
-    }
-
-    /// Returns whether the response has the contents of one of the last responses, and so may be a copy of it.
-    fn contains(&self, response: &CallResponse) -> bool {
-        self.fingerprints.contains(&response.fingerprint)
-    }
-
-    /// Returns the time within which another response follows a provisional one, if that was a copy.
-    pub(crate) fn provisional_for(&self) -> Duration {
-        (self.slowest * OVERDUE_FACTOR).clamp(MIN_PROVISIONAL, MAX_PROVISIONAL)
-    }
-}
 
 /// Reports the wait of a response that is held back: it binds from the time at which it was written.
 pub(crate) struct WaitReports {
@@ -107,7 +63,7 @@
         // The part of a copy may precede the response to the call.
         response.is_malformed |= connection.is_head_mixed() || !response.is_complete && connection.is_mixed();
         response.is_provisional = response.is_complete && !response.is_malformed;
-    } else if !response.is_ok() && connection.history.contains(&response) {
+    } else if !response.is_ok() && connection.history.contains(response.fingerprint) {
         if let Some(wait) = response.wait {
             waits.report(wait).await;
         }
@@ -128,7 +84,7 @@
     }
     match &response.states {
         Some(states) => !states.iter().any(|state| ids.contains(&state.id)),
-        None => connection.history.contains(response),
+        None => connection.history.contains(response.fingerprint),
     }
 }
 
@@ -168,7 +124,7 @@
             continue;
         }
         // Either response may be a copy of an earlier one.
-        if connection.history.contains(&further) {
+        if connection.history.contains(further.fingerprint) {
             return Err(CallError::Malformed);
         }
         return Ok(further);
