Give the state of a client connection a file of its own

Change: the state that a connection's task updates, and the observer of its bytes, are in client_state; clients accepts, evicts and closes. Behaviour is unchanged.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -2,7 +2,8 @@
 //! endpoints, the endpoint list, and notices.
 //!
 //! - `intake`: reads client requests and submits them to the engine
-//! - `clients`: accepts client connections, evicts idle ones when room runs short, and closes each
+//! - `clients`: accepts client connections, evicts idle ones when room runs short, and closes each;
+//!   `client_state`: what is known of one
 //! - `body`, `body_memory`: reads bodies, within a bound on their memory
 //! - `head_scanner`: detects request heads with ambiguous body framing
 //! - `observed`: a TCP stream whose bytes an observer sees before the HTTP parser does
@@ -19,6 +20,7 @@
 mod body;
 mod body_memory;
 mod calls;
+mod client_state;
 mod clients;
 mod connection;
 pub mod discovery;
