Hash responses with a state of 88 bytes in place of 576

Need: the hash of a response is part of its call's task until the connection has rested.

Change: XXH64 in place of XXH3, whose streaming state is larger.

--- a/crates/http/src/response.rs
+++ b/crates/http/src/response.rs
@@ -6,7 +6,7 @@
 use hyper::{HeaderMap, Response, StatusCode};
 use serde::Deserialize;
 use std::hash::{Hash, Hasher};
-use xxhash_rust::xxh3::Xxh3Default;
+use xxhash_rust::xxh64::Xxh64;
 use yarrowhill_policy::api::{LimitReport, Micros};
 use yarrowhill_settings::parse_limit_report;
 
@@ -96,7 +96,7 @@
         report: header_text(headers, "srv-load").and_then(parse_report),
         ..CallResponse::status_only(response.status())
     };
-    let mut head = Xxh3Default::new();
+    let mut head = Xxh64::new(0);
     result.status.hash(&mut head);
     headers.iter().for_each(|header| header.hash(&mut head));
     let has_states = is_batch && result.status == StatusCode::OK;
@@ -119,7 +119,7 @@
     connection: &Connection,
     body: Incoming,
     is_kept: bool,
-    hasher: &mut Xxh3Default,
+    hasher: &mut Xxh64,
 ) -> Option<Bytes> {
     // The bytes of a body that cannot be read to its end matter only where it may contain another response.
     let is_too_long = body.size_hint().lower() > MAX_RESPONSE_BYTES as u64;
