Take the buffer of a lingering close only while one lasts

Cause: the array of 4 KiB was part of each client connection's task from the start, 2.2 MB of 560 connections.

Change: it is allocated when the connection closes.

--- a/crates/http/src/clients.rs
+++ b/crates/http/src/clients.rs
@@ -39,6 +39,8 @@
 const MIN_EVICTABLE_IDLE: Duration = Duration::from_millis(250);
 /// Time limit of a lingering close.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(300);
+/// Size of the buffer of a lingering close.
+const LINGER_BUFFER_BYTES: usize = 4 << 10;
 /// Number of bytes after which a lingering close ends.
 const MAX_LINGER_BYTES: usize = 256 << 10;
 /// The share of connections reserved for those that are closing is one divided by this.
@@ -251,7 +253,8 @@
         return;
     }
     let discard = async {
-        let (mut buffer, mut left) = ([0; 4096], MAX_LINGER_BYTES);
+        // On the heap: in the task of each connection it would take its memory from the start.
+        let (mut buffer, mut left) = (vec![0; LINGER_BUFFER_BYTES], MAX_LINGER_BYTES);
         while let Ok(read) = stream.read(&mut buffer).await {
             left = left.saturating_sub(read);
             if read == 0 || left == 0 {
