Go on listening to requests for the list whose answer is late

Cause: discovery::watch gave a request up after 1 s (a continued watch after its wait and 1 s, a body after 0.5 s), closed its connection and sent the same request again, with a time-out that never grows.

Change: a request that is late stays open while the next one is sent, at the times of before (schedule.rs keeps its bounds and tests). At most four are open at an agent and two at a shared discovery; the oldest stays open for a time that doubles whenever it runs out, so that any answer arrives in the end. A list that a newer one overtook is dropped; a move of discovery gives up all requests. Log lines tell a silent discovery from a slow one.

Why it works: a slow answer and a silence look alike until one of them comes. Asking again bounds a silence as before; listening on hears the answer. A longer time-out would trade one for the other.

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -37,20 +37,30 @@
 
 /// Reads a body of at most `max_bytes` into `memory` within `time_limit`.
 pub(crate) async fn collect(
-    mut body: Incoming,
+    body: Incoming,
     max_bytes: usize,
     time_limit: Duration,
     memory: &Arc<BodyMemory>,
+) -> Result<CompleteBody, BodyError> {
+    let read_all = collect_patiently(body, max_bytes, time_limit, memory);
+    timeout(time_limit, read_all).await.map_err(|_| BodyError::TimedOut)?
+}
+
+/// Reads a body of at most `max_bytes` into `memory`. If it is too slow to be complete within `usual_time`, it is
+/// evicted when others need the memory.
+pub(crate) async fn collect_patiently(
+    mut body: Incoming,
+    max_bytes: usize,
+    usual_time: Duration,
+    memory: &Arc<BodyMemory>,
 ) -> Result<CompleteBody, BodyError> {
     let announced = body.size_hint().exact().and_then(|bytes| usize::try_from(bytes).ok());
-    let buffer = memory.begin(announced.map_or(max_bytes, |bytes| bytes.min(max_bytes)), time_limit);
-    let read_all = visit(&mut body, max_bytes, |piece| Ok(buffer.append(piece)?));
-    let in_time = tokio::select! {
+    let buffer = memory.begin(announced.map_or(max_bytes, |bytes| bytes.min(max_bytes)), usual_time);
+    tokio::select! {
         biased;
         () = buffer.evicted() => return Err(BodyError::OutOfMemory),
-        in_time = timeout(time_limit, read_all) => in_time,
-    };
-    in_time.map_err(|_| BodyError::TimedOut)??;
+        read = visit(&mut body, max_bytes, |piece| Ok(buffer.append(piece)?)) => read?,
+    }
     Ok(buffer.complete()?)
 }
 
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -18,7 +18,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
-use std::future::poll_fn;
+use std::future::{pending, poll_fn};
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::{Shutdown, SocketAddr};
@@ -32,9 +32,9 @@
 
 /// Size of a connection's read buffer, and so the longest head of a response.
 const BUFFER_BYTES: usize = 16 << 10;
-/// Time limit for the head of a response once its first byte has arrived, and again for the body: endpoints
+/// Time limit for the head of a response once its first byte has arrived, and again for the body: peers
 /// write a response in one go.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(500);
+pub(crate) const RESPONSE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Number of round trips after the cancellation of a call within which a response in transit arrives.
 const GRACE_ROUND_TRIPS: u32 = 2;
 /// Added to [`GRACE_ROUND_TRIPS`] for processing on both sides.
@@ -274,17 +274,43 @@
         &mut self,
         request: Request<Full<Bytes>>,
         begin_by: Option<Instant>,
+    ) -> Result<Response<Incoming>, SendError> {
+        self.send_until(request, begin_by, head_overdue).await
+    }
+
+    /// Sends one request as [`Connection::send`] does, and sets `begun_at` when its response begins. The head may
+    /// take any time.
+    pub(crate) async fn send_patiently(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        begun_at: &watch::Sender<Option<Instant>>,
+    ) -> Result<Response<Incoming>, SendError> {
+        let observe_begin = |received| async {
+            response_begun(received).await;
+            begun_at.send_replace(Some(Instant::now()));
+            pending().await
+        };
+        self.send_until(request, None, observe_begin).await
+    }
+
+    /// Sends one request and waits for the head of its response until `give_up` returns, which is passed what has
+    /// been received of it.
+    async fn send_until<F: Future<Output = ()>>(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        begin_by: Option<Instant>,
+        give_up: impl FnOnce(watch::Receiver<Received>) -> F,
     ) -> Result<Response<Incoming>, SendError> {
         if self.session.sender.ready().await.is_err() {
             return Err(SendError::NotWritten);
         }
         self.session.received.send_replace(Received::Nothing);
         self.session.request.begin(begin_by);
-        let mut received = self.session.received.subscribe();
+        let given_up = give_up(self.session.received.subscribe());
         let response = tokio::select! {
             biased;
             response = self.session.sender.try_send_request(request) => response,
-            () = head_overdue(&mut received) => return Err(SendError::Malformed),
+            () = given_up => return Err(SendError::Malformed),
         };
         response.map_err(|mut e| match e.take_message() {
             Some(_) => SendError::NotWritten,
@@ -305,6 +331,16 @@
         body::collect(incoming, max_bytes, RESPONSE_TIMEOUT, &self.bodies).await
     }
 
+    /// Reads the complete body of a response, which may take any time. After [`RESPONSE_TIMEOUT`] it gives way to
+    /// others that need its memory.
+    pub(crate) async fn collect_body_patiently(
+        &self,
+        incoming: Incoming,
+        max_bytes: usize,
+    ) -> Result<CompleteBody, BodyError> {
+        body::collect_patiently(incoming, max_bytes, RESPONSE_TIMEOUT, &self.bodies).await
+    }
+
     /// Closes the connection and returns once its socket is closed.
     pub(crate) async fn close(mut self) {
         self.session.driver.abort();
@@ -339,10 +375,15 @@
 }
 
 /// Returns when a response has begun and [`RESPONSE_TIMEOUT`] has passed since.
-async fn head_overdue(received: &mut watch::Receiver<Received>) {
+async fn head_overdue(received: watch::Receiver<Received>) {
+    response_begun(received).await;
+    sleep(RESPONSE_TIMEOUT).await;
+}
+
+/// Returns when a response has begun.
+async fn response_begun(mut received: watch::Receiver<Received>) {
     // The connection outlives its request, so that the channel is not closed.
     let _ = received.wait_for(|received| *received != Received::Nothing).await;
-    sleep(RESPONSE_TIMEOUT).await;
 }
 
 /// Records the status of each response: when the rest of a head cannot be parsed, the parser reports only an
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -14,9 +14,11 @@
 //!   answers a call
 //! - `discovery`, `notices`: requests to the platform; `schedule`: when to request the endpoint list; `listed`:
 //!   the addresses in it, known to calls before the engine applies it
+//! - `attempts`: several attempts at one exchange that are open at the same time
 //!
 //! All input is bounded: the sizes of heads, bodies, responses and lists, and the time that each may take.
 
+mod attempts;
 mod body;
 mod body_memory;
 mod calls;
--- a/crates/http/src/schedule.rs
+++ b/crates/http/src/schedule.rs
@@ -1,5 +1,6 @@
 //! Decides when to request the endpoint list, how long a watch may wait, and when to retry after a failure.
-//! Performs no I/O: the caller passes in the result of each request.
+//! Performs no I/O: the caller passes in the result of each request. A request without a response in time counts
+//! as failed; whether it stays open beside the next one is up to the caller.
 //!
 //! Many forwarders poll one discovery service without coordination. The requests of one forwarder are
 //! harmless, but if all of them request and retry at the same times, the service stays overloaded. The
@@ -37,8 +38,8 @@
 /// wait.
 const PROMPT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Timeout of a new watch on a shared discovery service. Long, because the service rejects what it cannot
-/// answer within 2 s, so that an accepted request gets a response; a request that is abandoned sooner costs
-/// the service as much, and is then sent once more.
+/// answer within 2 s, so that an accepted request gets a response; another one that is sent sooner costs the
+/// service as much.
 const QUEUED_TIMEOUT: Duration = Duration::from_millis(2500);
 
 /// A request for the endpoint list.
@@ -48,7 +49,7 @@
     pub version: Option<u64>,
     /// How long discovery may wait for a change; zero without a known version.
     pub wait: Duration,
-    /// Time after the request at which it fails if no response has come.
+    /// Time after the request at which it counts as failed, and another one is to be sent, if no response has come.
     pub timeout: Duration,
 }
 
@@ -101,9 +102,20 @@
         WatchRequest { version: self.version, wait, timeout }
     }
 
-    /// Records that the list was received as of `version`.
+    /// Returns whether the last request succeeded, so that the next one continues its watch.
+    pub fn is_watching(&self) -> bool {
+        self.is_watching
+    }
+
+    /// Records that the list was received as of `version`, by a request that the next one continues.
     pub fn succeeded(&mut self, version: u64) {
-        (self.version, self.failures, self.is_watching) = (Some(version), 0, true);
+        self.received(version);
+        (self.failures, self.is_watching) = (0, true);
+    }
+
+    /// Records that the list was received as of `version`, by a request behind which another one has been sent.
+    pub fn received(&mut self, version: u64) {
+        self.version = Some(version);
     }
 
     /// Records that a request failed after `elapsed`, and returns the delay until the next. The delay depends
--- a/crates/yarrowhill/src/daemon.rs
+++ b/crates/yarrowhill/src/daemon.rs
@@ -21,8 +21,8 @@
 /// the journal apply), for bodies of responses, and for an endpoint list, each.
 const BODY_MEMORY_DIVISOR: usize = 8;
 
-/// Descriptors reserved for everything but clients and endpoints: standard streams, runtime, listener,
-/// journal, discovery.
+/// Descriptors reserved for everything but clients and endpoints: standard streams, runtime, listener, journal,
+/// and the open requests to discovery and for notices.
 const RESERVED_DESCRIPTORS: usize = 20;
 
 /// Number of connections that may wait to be accepted. The system drops what exceeds it, and a client tries again
