--- /dev/null
+++ b/crates/http/tests/late_acknowledgements.rs
@@ -0,0 +1,67 @@
+//! Notices beside a platform that takes longer for each acknowledgement than the forwarder waits for one.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{Instant, sleep, timeout};
+use yarrowhill_engine::{Input, Notice, NoticeEnd};
+use yarrowhill_http::notices;
+
+/// Time that each acknowledgement takes.
+const ACKNOWLEDGEMENT_TIME: Duration = Duration::from_millis(1500);
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+/// A request with notices: when it arrived, and its body.
+type Arrival = (Instant, String);
+
+/// A platform that acknowledges each request late.
+async fn late_platform() -> (SocketAddr, mpsc::UnboundedReceiver<Arrival>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("port is free");
+    let address = listener.local_addr().expect("listener is bound");
+    let (send, arrivals) = mpsc::unbounded_channel();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(acknowledge(stream, send.clone()));
+        }
+    });
+    (address, arrivals)
+}
+
+/// Takes one request: its head and body arrive together.
+async fn acknowledge(mut stream: TcpStream, arrivals: mpsc::UnboundedSender<Arrival>) {
+    let mut request = vec![0; 64 << 10];
+    let Ok(length @ 1..) = stream.read(&mut request).await else { return };
+    let request = String::from_utf8_lossy(&request[..length]).into_owned();
+    let body = request.split("\r\n\r\n").nth(1).unwrap_or_default().to_owned();
+    let _ = arrivals.send((Instant::now(), body));
+    sleep(ACKNOWLEDGEMENT_TIME).await;
+    // The forwarder may have closed the connection.
+    let _ = stream.write_all(b"HTTP/1.1 204 Done\r\n\r\n").await;
+}
+
+fn notice(id: &str) -> Notice {
+    Notice { message_id: id.into(), end: NoticeEnd::GivenUp }
+}
+
+/// Guards against notices that are sent again and again: each attempt was given up before its acknowledgement came,
+/// the next one after the same time, and all later notices waited behind them.
+#[tokio::test]
+async fn notices_are_acknowledged_however_late_the_platform_does_it() {
+    let (address, mut arrivals) = late_platform().await;
+    let (_address, address) = watch::channel(address);
+    let (send, batches) = mpsc::channel(1);
+    let (engine, mut inputs) = mpsc::channel(4);
+    tokio::spawn(notices::send_all(address, batches, engine));
+    for id in ["first", "second"] {
+        send.send(vec![notice(id)]).await.expect("the task runs");
+        let input = timeout(TIMEOUT, inputs.recv()).await.expect("the notice is acknowledged");
+        assert!(matches!(input, Some(Input::NoticesAcknowledged(_))), "{input:?}");
+    }
+    let mut requests = 0;
+    while arrivals.try_recv().is_ok() {
+        requests += 1;
+    }
+    assert!(requests <= 4, "{requests} requests for two notices");
+}
