--- a/crates/http/tests/late_acknowledgements.rs
+++ b/crates/http/tests/late_acknowledgements.rs
@@ -11,6 +11,8 @@
 
 /// Time that each acknowledgement takes.
 const ACKNOWLEDGEMENT_TIME: Duration = Duration::from_millis(1500);
+/// Time after a message's deadline at which its notice is overdue.
+const NOTICE_DUE_WITHIN: Duration = Duration::from_millis(300);
 const TIMEOUT: Duration = Duration::from_secs(10);
 
 /// A request with notices: when it arrived, and its body.
@@ -65,3 +67,27 @@
     }
     assert!(requests <= 4, "{requests} requests for two notices");
 }
+
+/// Guards against notices that are overdue because an earlier one is not acknowledged yet.
+#[tokio::test]
+async fn notices_do_not_wait_for_the_acknowledgement_of_earlier_ones() {
+    let (address, mut arrivals) = late_platform().await;
+    let (_address, address) = watch::channel(address);
+    let (send, batches) = mpsc::channel(1);
+    let (engine, _inputs) = mpsc::channel(64);
+    tokio::spawn(notices::send_all(address, batches, engine));
+    for number in 0..30 {
+        let (id, ended_at) = (format!("m{number}"), Instant::now());
+        send.send(vec![notice(&id)]).await.expect("the task runs");
+        loop {
+            let arrival = timeout(TIMEOUT, arrivals.recv()).await.expect("the notice arrives");
+            let (arrived_at, body) = arrival.expect("the platform runs");
+            if body.contains(&format!("{id:?}")) {
+                let after = arrived_at - ended_at;
+                assert!(after < NOTICE_DUE_WITHIN, "notice {number} arrived after {after:?}");
+                break;
+            }
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+}
