Double the timeout of calls until a destination answers

Cause: the timeout follows from the latency of deliveries, and is at least two target latencies. Where none is delivered no latency is learned, so that every attempt, and every probe of the outage that is assumed then, ends after the same time.

Change: the timeout of a scope doubles each time that it runs out without any response since, up to sixteen times, and is what it was after a response.

Why it works: the first answer is heard once the timeout has grown past it; from then on its latency is learned as before. Two attempts at once are forbidden, so that listening on beside a new attempt is no way here.

Result: a_destination_that_always_answers_later_than_the_first_timeout_is_heard failed before (nothing delivered at 7 s) and passes.

--- a/crates/policy/src/balancer/outcomes.rs
+++ b/crates/policy/src/balancer/outcomes.rs
@@ -229,6 +229,11 @@
         let (params, kind) = (self.params.clone(), self.dests[&dest].kind);
         let scope = self.scope(dest, endpoint);
         end.report.into_iter().for_each(|report| scope.apply_report(report, now, kind, &params));
+        match end.outcome {
+            Outcome::TimedOut => scope.record_timeout(now, now - end.elapsed),
+            Outcome::Delivered | Outcome::Error | Outcome::Full { .. } => scope.record_response(),
+            _ => {}
+        }
         match end.outcome {
             Outcome::Delivered => scope.record_delivery(now, end.elapsed as f64, &params),
             Outcome::Full { wait } => scope.record_refusal(now, now - end.elapsed, wait, &params),
--- a/crates/policy/src/balancer/scope.rs
+++ b/crates/policy/src/balancer/scope.rs
@@ -30,6 +30,11 @@
 /// Weight of one delivery (0 to 1) in the moving average of the recent latency, which covers a few calls.
 pub(super) const RECENT_LATENCY_GAIN: f64 = 0.3;
 
+/// Timeout of calls as a multiple of the usual latency; it is at least two target latencies.
+const TIMEOUT_LATENCY_FACTOR: f64 = 10.0;
+/// Maximum number of times that the timeout of calls doubles.
+const MAX_TIMEOUT_DOUBLINGS: u32 = 4;
+
 /// What a scope is: a destination, or one of its endpoints.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct ScopeId {
@@ -64,6 +69,10 @@
     evidence: FailureEvidence,
     /// Time of the last delivery.
     pub(super) last_success: Micros,
+    /// Number of times that the timeout of calls has doubled since the last response.
+    timeout_doublings: u32,
+    /// Time at which the timeout of calls last doubled.
+    timeout_doubled_at: Micros,
     /// Calls in flight and when each was sent.
     pub(super) calls_in_flight: BTreeMap<u64, Micros>,
     /// Number of consecutive waves of refusals.
@@ -115,6 +124,28 @@
         }
     }
 
+    /// Returns the timeout of calls. Without a response it doubles each time that it runs out: a destination
+    /// that always takes longer would never be heard otherwise.
+    pub(super) fn call_timeout(&self, params: &Params) -> Micros {
+        let usual_latency = self.usual_latency.max(params.target_latency / 16.0);
+        let timeout = (TIMEOUT_LATENCY_FACTOR * usual_latency).max(2.0 * params.target_latency);
+        (timeout as Micros) << self.timeout_doublings
+    }
+
+    /// Records that a call was not answered in time. Calls that were sent before the timeout last doubled
+    /// count as one.
+    pub(super) fn record_timeout(&mut self, now: Micros, sent_at: Micros) {
+        if self.timeout_doublings == 0 || sent_at >= self.timeout_doubled_at {
+            self.timeout_doublings = (self.timeout_doublings + 1).min(MAX_TIMEOUT_DOUBLINGS);
+            self.timeout_doubled_at = now;
+        }
+    }
+
+    /// Records that a call was answered.
+    pub(super) fn record_response(&mut self) {
+        self.timeout_doublings = 0;
+    }
+
     /// Returns the age from which a call in flight is overdue.
     pub(super) fn overdue_after(&self, params: &Params) -> Micros {
         (OVERDUE_LATENCY_FACTOR * self.usual_latency).max(params.target_latency / 2.0) as Micros
--- a/crates/policy/src/balancer/selection.rs
+++ b/crates/policy/src/balancer/selection.rs
@@ -6,9 +6,6 @@
 use super::state::{Attempt, Balancer, Dest, Endpoint, Placement};
 use crate::api::{Action, DestId, Effect, EndpointId, MessageId, Micros};
 
-/// Timeout of repeatable messages as a multiple of the usual latency; it is at least two target latencies.
-const TIMEOUT_LATENCY_FACTOR: f64 = 10.0;
-
 impl Balancer {
     /// Returns the message with the highest value for a call to a scope, with that value. Of each queue only
     /// the first message that can still be on time and the first of all are considered; of equal values the
@@ -143,7 +140,7 @@
         let (params, call) = (self.params.clone(), self.next_call);
         self.next_call += 1;
         let kind = self.dests[&dest].kind;
-        let usual_latency = self.scope(dest, endpoint).usual_latency.max(params.target_latency / 16.0);
+        let call_timeout = self.scope(dest, endpoint).call_timeout(&params);
         let (mut next, mut batch) = (Some(first), 0);
         while let Some(id) = next.filter(|_| batch < kind.max_batch.max(1)) {
             self.dequeue(id);
@@ -159,12 +156,10 @@
             self.attempts.insert((id, message.attempts), attempt);
             message.attempts += 1;
             batch += 1;
-            // Unsafe messages may take until their deadline; the timeout of others follows from the usual
-            // latency.
+            // Unsafe messages may take until their deadline.
             let time_left = (message.submitted.expires_at - now).max(1);
             let is_repeatable = params.settings.classes[class].effect != Effect::Unsafe;
-            let short = (TIMEOUT_LATENCY_FACTOR * usual_latency).max(2.0 * params.target_latency) as Micros;
-            let timeout = if is_repeatable { short.min(time_left) } else { time_left };
+            let timeout = if is_repeatable { call_timeout.min(time_left) } else { time_left };
             actions.push(Action::Send { id, endpoint, timeout, begin_by });
             let dest_state = self.dests.get_mut(&dest).expect("only known destinations are sent to");
             dest_state.unsafe_in_flight += usize::from(!is_repeatable);
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -825,3 +825,57 @@
     let sent: usize = (0..6).map(|id| sends(&harness.submit(id, UNSAFE, 1)).len()).sum();
     assert_eq!(sent, 6, "each call carries one message");
 }
+
+/// A call in flight that ends at a known time.
+struct ScriptedCall {
+    ends_at: Micros,
+    id: MessageId,
+    attempt: usize,
+    outcome: Outcome,
+    elapsed: Micros,
+}
+
+/// Returns the messages that are delivered by a destination that answers each call after the same time. Message
+/// `n` is submitted after `2 n` seconds.
+fn delivered_by_destination(answer_time: Micros, messages: usize) -> Vec<MessageId> {
+    const STEP: Micros = 5 * MS;
+    const STEPS_PER_MESSAGE: usize = (2 * SEC / STEP) as usize;
+    let mut harness = Harness::new(Settings { slots: 20, ..settings() }, vec![entry(10, 1, 0)]);
+    let (mut calls, mut delivered): (Vec<ScriptedCall>, Vec<MessageId>) = (Vec::new(), Vec::new());
+    let mut attempts = vec![0; messages];
+    for step in 0..messages * STEPS_PER_MESSAGE {
+        let mut actions = Vec::new();
+        if step % STEPS_PER_MESSAGE == 0 {
+            actions.extend(harness.submit((step / STEPS_PER_MESSAGE) as MessageId, 0, 1));
+        }
+        actions.extend(harness.advance(STEP).into_iter().map(|(_, action)| action));
+        let ended: Vec<_> = calls.extract_if(.., |call| call.ends_at <= harness.now).collect();
+        for ScriptedCall { id, attempt, outcome, elapsed, .. } in ended {
+            actions.extend(harness.end_attempt(id, attempt, outcome, elapsed));
+            if outcome == Outcome::Delivered {
+                delivered.push(id);
+            }
+        }
+        for action in actions {
+            let Action::Send { id, timeout, .. } = action else { continue };
+            let outcome = if timeout < answer_time { Outcome::TimedOut } else { Outcome::Delivered };
+            let (elapsed, attempt) = (timeout.min(answer_time), attempts[id as usize]);
+            calls.push(ScriptedCall { ends_at: harness.now + elapsed, id, attempt, outcome, elapsed });
+            attempts[id as usize] += 1;
+        }
+    }
+    delivered
+}
+
+/// Guards against a destination that gets nothing delivered although it answers every call: it always took longer
+/// than the timeout, which could not grow.
+#[test]
+fn a_destination_that_always_answers_later_than_the_first_timeout_is_heard() {
+    for answer_time in [5 * SEC, 7 * SEC, 10 * SEC] {
+        let delivered = delivered_by_destination(answer_time, 30);
+        // Those submitted once it has been heard, but for the last ones, which are still in flight.
+        for id in 15..24 {
+            assert!(delivered.contains(&id), "answers after {answer_time} us: {id} is not in {delivered:?}");
+        }
+    }
+}
