Keep long lists that arrive slowly from pushing each other out

Lists longer than half of the memory for lists (an eighth of memory_mb) whose pieces came over 3 s never arrived.

Cause: a body that is too slow to be complete within 0.5 s is evicted when another needs its memory. Each list was evicted for the next one.

Change: a list is too slow only if it would take 8 s; until then a later one that finds no memory fails in its place. The log tells why a list could not be read.

Why it works: the list that has been coming for longest keeps its memory and is completed; one whose connection is stuck still gives way within a second.

Result: long_lists_that_arrive_slowly_are_not_dropped_for_each_other failed before (no list in 6 s) and passes.

--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -331,14 +331,15 @@
         body::collect(incoming, max_bytes, RESPONSE_TIMEOUT, &self.bodies).await
     }
 
-    /// Reads the complete body of a response, which may take any time. After [`RESPONSE_TIMEOUT`] it gives way to
-    /// others that need its memory.
+    /// Reads the complete body of a response, which may take any time. If it is too slow to be complete within
+    /// `usual_time`, it gives way to others that need its memory.
     pub(crate) async fn collect_body_patiently(
         &self,
         incoming: Incoming,
         max_bytes: usize,
+        usual_time: Duration,
     ) -> Result<CompleteBody, BodyError> {
-        body::collect_patiently(incoming, max_bytes, RESPONSE_TIMEOUT, &self.bodies).await
+        body::collect_patiently(incoming, max_bytes, usual_time, &self.bodies).await
     }
 
     /// Closes the connection and returns once its socket is closed.
--- a/crates/http/src/discovery/list_request.rs
+++ b/crates/http/src/discovery/list_request.rs
@@ -1,6 +1,7 @@
 //! One request for the endpoint list, from its connection to the parsed response. Nothing in it has a time limit:
 //! the caller decides how long it stays open.
 
+use crate::body::BodyError;
 use crate::body_memory::BodyMemory;
 use crate::connection::{self, Connection};
 use crate::schedule::{FailureKind, WatchRequest};
@@ -17,15 +18,21 @@
 /// Time limit for a connection to open: the system gives up sooner.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(300);
 
+/// Time in which a list arrives unless its request is stuck: one that takes longer gives way to others that need
+/// its memory. Long, because lists that are merely slow would otherwise push each other out.
+const LIST_TIME: Duration = Duration::from_secs(8);
+
 /// Why a request brought no list.
 #[derive(Debug, thiserror::Error)]
 pub(super) enum WatchError {
     #[error("cannot connect: {0}")]
     Connect(#[from] std::io::Error),
-    #[error("connection closed before the response was complete")]
+    #[error("connection closed before a complete head of the response")]
     ConnectionLost,
     #[error("unexpected status {0}")]
     Status(StatusCode),
+    #[error("cannot read the list: {0}")]
+    Body(#[from] BodyError),
     #[error("malformed endpoint list: {0}")]
     Malformed(#[from] serde_json::Error),
     #[error("list {0} is older than the one requested: a copy of an earlier response")]
@@ -36,9 +43,10 @@
     /// Classifies the error by what it says about the requested version.
     pub(super) fn kind(&self) -> FailureKind {
         match self {
-            WatchError::Connect(_) | WatchError::ConnectionLost | WatchError::Copy(_) => {
-                FailureKind::Unavailable
-            }
+            WatchError::Connect(_)
+            | WatchError::ConnectionLost
+            | WatchError::Body(_)
+            | WatchError::Copy(_) => FailureKind::Unavailable,
             WatchError::Status(status)
                 if status.is_server_error() || *status == StatusCode::TOO_MANY_REQUESTS =>
             {
@@ -109,8 +117,8 @@
         if response.status() != StatusCode::OK {
             return Err(WatchError::Status(response.status()));
         }
-        let body = connection.collect_body_patiently(response.into_body(), self.max_list_bytes).await;
-        let body = body.map_err(|_| WatchError::ConnectionLost)?;
+        let body = response.into_body();
+        let body = connection.collect_body_patiently(body, self.max_list_bytes, LIST_TIME).await?;
         Ok(serde_json::from_slice(&body.bytes)?)
     }
 }
--- a/crates/http/tests/discovery.rs
+++ b/crates/http/tests/discovery.rs
@@ -17,6 +17,8 @@
 /// Time after which a change counts as told, whether or not it arrived.
 const TOLD_AFTER: Duration = Duration::from_secs(6);
 const TIMEOUT: Duration = Duration::from_secs(15);
+/// Maximum length of a list.
+const MAX_LIST_BYTES: usize = 1 << 20;
 
 const fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -31,13 +33,15 @@
     is_list_taken_first: bool,
     /// Number of pieces of the body, and the time before each.
     pieces: (u32, Duration),
+    /// Number of blanks in the body.
+    padding: usize,
 }
 
 const PROMPT: Manner = late(0);
 
 /// An answer that comes late in one piece.
 const fn late(millis: u64) -> Manner {
-    Manner { delay: Some(ms(millis)), is_list_taken_first: false, pieces: (1, Duration::ZERO) }
+    Manner { delay: Some(ms(millis)), is_list_taken_first: false, pieces: (1, Duration::ZERO), padding: 0 }
 }
 
 /// Returns how the nth request (from 0), which comes so long after the start, is answered.
@@ -108,7 +112,8 @@
         let Some(delay) = manner.delay else { return std::future::pending().await };
         sleep(delay).await;
         let version = if manner.is_list_taken_first { taken } else { *version.borrow() };
-        let body = json!({"rev": version, "all": index.is_none(), "targets": []}).to_string();
+        let list = json!({"rev": version, "all": index.is_none(), "targets": []}).to_string();
+        let body = " ".repeat(manner.padding) + &list;
         let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
         let mut is_written = writer.write_all(head.as_bytes()).await.is_ok();
         let (pieces, pause) = manner.pieces;
@@ -124,7 +129,7 @@
 fn watch_lists(address: watch::Receiver<SocketAddr>, forwarders: Option<usize>) -> mpsc::Receiver<Input> {
     let (engine, inputs) = mpsc::channel(64);
     let known = EndpointList { version: 1, is_full: true, endpoints: Vec::new() };
-    let config = WatchConfig { version: 1, forwarders, seed: 1, max_list_bytes: 1 << 20 };
+    let config = WatchConfig { version: 1, forwarders, seed: 1, max_list_bytes: MAX_LIST_BYTES };
     tokio::spawn(discovery::watch(address, config, ListedAddresses::new(&known), engine));
     inputs
 }
@@ -211,6 +216,18 @@
     }
 }
 
+/// Guards against long lists that push each other out of the memory that they share: none of them arrived while the
+/// pieces of each came slowly.
+#[tokio::test]
+async fn long_lists_that_arrive_slowly_are_not_dropped_for_each_other() {
+    let script: Script = |_, _| Manner { pieces: (24, ms(125)), padding: MAX_LIST_BYTES * 2 / 3, ..PROMPT };
+    let (address, _discovery) = Discovery::start(script).await;
+    let (_address, address) = watch::channel(address);
+    let mut inputs = watch_lists(address, None);
+    let first = timeout(TOLD_AFTER, received(&mut inputs, 1)).await;
+    assert!(first.is_ok(), "no list");
+}
+
 /// Guards against watches that stay silent because a slow discovery is waited for: one that has fallen silent is
 /// opened anew in time, and what it misses is told.
 #[tokio::test]
