Break the import circles of the daemon and of the checker

Change: `run_error` has the error, `setup` what the daemons with one engine and with several share, and the checker's `limit` how the limits of destinations are used. Moved as they were.

Result: no behaviour changed; no import circle is left in either package. The tests of the checker pass, formatter and linter are clean.

--- a/crates/checker/src/fleet/tests.rs
+++ b/crates/checker/src/fleet/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of `fleet`.
 
 use super::*;
+use crate::limit::judge_limit;
 
 fn claim(
     process: usize,
--- a/crates/checker/src/lib.rs
+++ b/crates/checker/src/lib.rs
@@ -20,15 +20,17 @@
 mod fleet_ledger;
 mod judge;
 mod ledger;
+mod limit;
 mod outages;
 mod rule;
 mod rules;
 
 pub use accounts::{Account, accounts};
 pub use duties::vacancies;
-pub use fleet::{LimitUse, judge_fleet, judge_limit};
+pub use fleet::judge_fleet;
 pub use fleet_ledger::{Claim, ColdStart, DutyClaim, FleetBreach, FleetEntry, FleetEvent, FleetParams};
 pub use judge::judge;
 pub use ledger::{CallEnd, ClientOutcome, Entry, Event, ForwarderState, Standing};
+pub use limit::{LimitUse, judge_limit};
 pub use outages::{OutageReport, judge_outages};
 pub use rule::{Breach, Effect, Rule, RuleParams};
--- a/crates/checker/src/outages.rs
+++ b/crates/checker/src/outages.rs
@@ -1,8 +1,8 @@
 //! Judges the calls that reach a destination during an outage that affects all processes, and during its
 //! warm-up after it.
 
-use crate::fleet::judge_limit;
 use crate::fleet_ledger::{ColdStart, FleetBreach, FleetEntry, FleetEvent, FleetParams};
+use crate::limit::judge_limit;
 
 impl ColdStart {
     /// Returns the integral of the destination's capacity share over the first `elapsed` ms after the outage
--- a/crates/yarrowhill/src/fleet.rs
+++ b/crates/yarrowhill/src/fleet.rs
@@ -2,9 +2,9 @@
 //! fleet document is configured.
 
 use crate::config::Config;
-use crate::daemon::RunError;
 #[cfg(feature = "members")]
 use crate::member::Member;
+use crate::run_error::RunError;
 use tokio::sync::mpsc::Sender;
 use yarrowhill_engine::Input;
 use yarrowhill_http::{Intake, Pool};
--- a/crates/yarrowhill/src/lib.rs
+++ b/crates/yarrowhill/src/lib.rs
@@ -5,13 +5,16 @@
 mod fleet;
 #[cfg(feature = "members")]
 mod member;
+mod run_error;
+mod setup;
 #[cfg(feature = "shards")]
 mod sharded;
 
 pub use config::{Config, ConfigError};
-pub use daemon::{RunError, run};
+pub use daemon::run;
 #[cfg(feature = "members")]
 pub use member::CONTROL_SOCKET;
+pub use run_error::RunError;
 
 use std::error::Error;
 
--- a/crates/yarrowhill/src/member.rs
+++ b/crates/yarrowhill/src/member.rs
@@ -2,7 +2,7 @@
 //! intake.
 
 use crate::config::Config;
-use crate::daemon::RunError;
+use crate::run_error::RunError;
 use serde_json::Value;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
--- a/crates/yarrowhill/src/sharded.rs
+++ b/crates/yarrowhill/src/sharded.rs
@@ -2,11 +2,12 @@
 //! calls; clients are served on the threads of the runtime that calls [`run`].
 
 use crate::config::Config;
-use crate::daemon::{
-    DescriptorBudget, INPUT_CHANNEL_CAPACITY, JOURNAL_BYTES_PER_DISK_MB, RunError, body_memory_kib, listen,
-    reload, watch_config,
-};
 use crate::fleet::FleetMembership;
+use crate::run_error::RunError;
+use crate::setup::{
+    DescriptorBudget, INPUT_CHANNEL_CAPACITY, JOURNAL_BYTES_PER_DISK_MB, body_memory_kib, listen, reload,
+    watch_config,
+};
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::thread;
