Ask for the full list where discovery has lost versions

Callers saw: nothing reported; found by a test of the requests that are open beside each other. Where discovery is at version 2 and the forwarder knows 7, an answer with the changes since 7, none, made 2 the known version, and what had changed up to 2 was never told.

Cause: a list of an older version was believed on a new connection whether it was complete or changes alone.

Change: changes up to an older version end their request as unusable; all open requests are given up, since their answers may be from before, and the full list is asked for.

Why it works: the full list has whatever the lost versions did not tell. The engine still does not bring a drained endpoint back by an older list.

Result: a_discovery_that_has_lost_versions_is_asked_for_the_full_list failed before and passes.

--- a/crates/http/src/discovery.rs
+++ b/crates/http/src/discovery.rs
@@ -177,8 +177,7 @@
     }
 
     async fn move_to_new_address(&mut self) -> Result<(), EngineEnded> {
-        self.requests.give_up_all();
-        (self.current, self.idle, self.known_version) = (None, None, None);
+        self.forget_versions();
         self.schedule.address_changed();
         self.next_at = Some(Instant::now());
         Ok(self.engine.send(Input::DiscoveryMoved).await?)
@@ -227,12 +226,7 @@
         let is_current = self.current.take_if(|current| current.id == id).is_some();
         let ListResponse { to, known_version, is_reused, connection, list } = output;
         let elapsed = started_at.elapsed();
-        let age =
-            |list: &EndpointList| ListAge::new(list.version, self.known_version, known_version, is_reused);
-        let result = list.and_then(|list| match age(&list) {
-            ListAge::Copy => Err(WatchError::Copy(list.version)),
-            age => Ok((age, list)),
-        });
+        let result = list.and_then(|list| self.classify(list, known_version, is_reused));
         match result {
             Ok((age, list)) => {
                 self.requests.answered(elapsed);
@@ -248,8 +242,12 @@
             }
             Err(e) => {
                 tracing::warn!("discovery request to {to} failed: {e}");
-                // Another request has been sent since, or is due.
-                if is_current {
+                let are_versions_lost = matches!(e, WatchError::VersionsLost(_));
+                if are_versions_lost {
+                    self.forget_versions();
+                }
+                // Otherwise another request has been sent since, or is due.
+                if is_current || are_versions_lost {
                     // After a response with an error status the connection is still usable.
                     self.idle = connection.filter(|_| matches!(e, WatchError::Status(_)));
                     self.schedule_after_failure(e.kind(), elapsed);
@@ -259,6 +257,27 @@
         Ok(())
     }
 
+    /// Returns a list with its age, or why it cannot be used.
+    fn classify(
+        &self,
+        list: EndpointList,
+        known_at_request: Option<u64>,
+        is_reused: bool,
+    ) -> Result<(ListAge, EndpointList), WatchError> {
+        match ListAge::new(list.version, self.known_version, known_at_request, is_reused) {
+            ListAge::Copy => Err(WatchError::Copy(list.version)),
+            // Changes since a version that discovery does not know.
+            ListAge::VersionsLost if !list.is_full => Err(WatchError::VersionsLost(list.version)),
+            age => Ok((age, list)),
+        }
+    }
+
+    /// Gives up the open requests: their responses may be from before discovery lost versions or moved.
+    fn forget_versions(&mut self) {
+        self.requests.give_up_all();
+        (self.current, self.idle, self.known_version) = (None, None, None);
+    }
+
     /// Passes a list on unless it is outdated.
     async fn apply(&mut self, age: ListAge, list: EndpointList) -> Result<(), EngineEnded> {
         tracing::debug!(rev = list.version, all = list.is_full, lines = ?list.endpoints, ?age, "list");
@@ -266,8 +285,7 @@
             return Ok(());
         }
         if age == ListAge::VersionsLost {
-            self.requests.give_up_all();
-            self.current = None;
+            self.forget_versions();
         }
         self.known_version = Some(list.version);
         self.confirmed_at = Instant::now();
--- a/crates/http/src/discovery/list_request.rs
+++ b/crates/http/src/discovery/list_request.rs
@@ -37,6 +37,8 @@
     Malformed(#[from] serde_json::Error),
     #[error("list {0} is older than the one requested: a copy of an earlier response")]
     Copy(u64),
+    #[error("changes up to list {0}, which is older than the one requested: discovery has lost versions")]
+    VersionsLost(u64),
 }
 
 impl WatchError {
@@ -52,7 +54,9 @@
             {
                 FailureKind::Unavailable
             }
-            WatchError::Status(_) | WatchError::Malformed(_) => FailureKind::Unusable,
+            WatchError::Status(_) | WatchError::Malformed(_) | WatchError::VersionsLost(_) => {
+                FailureKind::Unusable
+            }
         }
     }
 }
--- a/crates/http/tests/discovery.rs
+++ b/crates/http/tests/discovery.rs
@@ -284,9 +284,21 @@
     }
 }
 
-/// Answers the first request with a list and each later one with another, all with all endpoints, in whatever
-/// order their delays bring about.
-async fn answer_once_each(answers: Vec<(u64, Duration)>) -> SocketAddr {
+/// A scripted list.
+#[derive(Clone, Copy)]
+struct Answer {
+    version: u64,
+    is_full: bool,
+    delay: Duration,
+}
+
+/// A full list that comes late.
+const fn full(version: u64, delay_ms: u64) -> Answer {
+    Answer { version, is_full: true, delay: ms(delay_ms) }
+}
+
+/// Answers the first request of each connection with the next list, in whatever order the delays bring about.
+async fn answer_once_each(answers: Vec<Answer>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("port is free");
     let address = listener.local_addr().expect("listener is bound");
     tokio::spawn(async move {
@@ -295,9 +307,9 @@
             let answer = remaining.next();
             tokio::spawn(async move {
                 let Ok(1..) = stream.read(&mut [0; 4096]).await else { return };
-                if let Some((version, delay)) = answer {
+                if let Some(Answer { version, is_full, delay }) = answer {
                     sleep(delay).await;
-                    let body = json!({"rev": version, "all": true, "targets": []}).to_string();
+                    let body = json!({"rev": version, "all": is_full, "targets": []}).to_string();
                     let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
                     let _ = stream.write_all((head + &body).as_bytes()).await;
                 }
@@ -325,7 +337,7 @@
 /// to a later request.
 #[tokio::test]
 async fn an_older_list_behind_a_newer_one_is_not_passed_on() {
-    let address = answer_once_each(vec![(5, ms(1900)), (6, ms(100))]).await;
+    let address = answer_once_each(vec![full(5, 1900), full(6, 100)]).await;
     let (_address, address) = watch::channel(address);
     let mut inputs = watch_lists(address, None);
     assert_eq!(versions_within(&mut inputs, ms(2600)).await, [6]);
@@ -335,8 +347,8 @@
 /// SIGHUP changes the address.
 #[tokio::test]
 async fn an_answer_of_the_old_address_behind_a_move_is_not_passed_on() {
-    let old = answer_once_each(vec![(9, ms(1500)), (9, ms(1000))]).await;
-    let new = answer_once_each(vec![(3, ms(1200))]).await;
+    let old = answer_once_each(vec![full(9, 1500), full(9, 1000)]).await;
+    let new = answer_once_each(vec![full(3, 1200)]).await;
     let (move_to, address) = watch::channel(old);
     let mut inputs = watch_lists(address, None);
     sleep(ms(1250)).await;
@@ -350,8 +362,28 @@
 #[tokio::test]
 async fn a_discovery_that_has_lost_versions_is_believed_on_a_new_connection() {
     // The first request brings version 7 and continues unanswered; the next one is sent on a new connection.
-    let address = answer_once_each(vec![(7, ms(0)), (2, ms(200))]).await;
+    let address = answer_once_each(vec![full(7, 0), full(2, 200)]).await;
     let (_address, address) = watch::channel(address);
     let mut inputs = watch_lists(address, None);
     assert_eq!(versions_within(&mut inputs, ms(4500)).await, [7, 2]);
 }
+
+/// Guards against changes that are never told: a discovery that has lost versions returns the changes since a
+/// version that it does not know, which are none.
+#[tokio::test]
+async fn a_discovery_that_has_lost_versions_is_asked_for_the_full_list() {
+    let changes = Answer { is_full: false, ..full(2, 0) };
+    let address = answer_once_each(vec![full(7, 0), changes, full(2, 0)]).await;
+    let (_address, address) = watch::channel(address);
+    let mut inputs = watch_lists(address, None);
+    let full_list = async {
+        loop {
+            match inputs.recv().await {
+                Some(Input::List(list)) if list.version == 2 => break assert!(list.is_full, "changes alone"),
+                Some(_) => {}
+                None => panic!("the watch has ended"),
+            }
+        }
+    };
+    timeout(TIMEOUT, full_list).await.expect("the full list is requested");
+}
