Divide the member of a fleet into its task, handle and state exchange

Need: crates/fleet/src/node.rs had 909 lines: the handle for the rest of the process, the task with the sockets, the exchange of full states and the log of events. The kind of a packet was tested and decoded in six places that were alike.

Change: handle.rs, state_exchange.rs and event_log.rs are modules of their own, moved without a change of behaviour, and node.rs keeps the task (502 lines). Datagram::decode returns a packet of any kind as one typed value; the functions that tested for a mark are gone, and the tests that called them ask for the decoded kind, which is stricter.

--- a/crates/fleet/src/codec.rs
+++ b/crates/fleet/src/codec.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use yarrowhill_duties as duties;
 use yarrowhill_knowledge::{OutageReport, WaitReport};
+use yarrowhill_membership::Packet;
 use yarrowhill_rights::Envelope;
 
 /// Maximum length of a UDP packet: fits an Ethernet frame with room for tunnel headers.
@@ -134,11 +135,6 @@
     encode_marked(&SNAPSHOT_MARK, part, MAX_PACKET_BYTES)
 }
 
-/// Returns whether a packet bears the mark of a snapshot part.
-pub fn is_snapshot_part(bytes: &[u8]) -> bool {
-    bytes.starts_with(&SNAPSHOT_MARK)
-}
-
 /// Decodes a snapshot part from untrusted bytes.
 ///
 /// # Errors
@@ -157,11 +153,6 @@
     encode_marked(&DUTY_MARK, envelope, MAX_PACKET_BYTES)
 }
 
-/// Returns whether a packet bears the mark of an envelope about duties.
-pub fn is_duty(bytes: &[u8]) -> bool {
-    bytes.starts_with(&DUTY_MARK)
-}
-
 /// Decodes an envelope about duties from untrusted bytes.
 ///
 /// # Errors
@@ -171,11 +162,6 @@
     decode_marked(&DUTY_MARK, bytes, MAX_PACKET_BYTES)
 }
 
-/// Returns whether a packet bears the mark of outage reports.
-pub fn is_outages(bytes: &[u8]) -> bool {
-    bytes.starts_with(&OUTAGES_MARK)
-}
-
 /// Decodes outage reports from untrusted bytes.
 ///
 /// # Errors
@@ -185,11 +171,6 @@
     decode_marked(&OUTAGES_MARK, bytes, MAX_PACKET_BYTES)
 }
 
-/// Returns whether a packet bears the mark of a wait update.
-pub fn is_waits(bytes: &[u8]) -> bool {
-    bytes.starts_with(&WAITS_MARK)
-}
-
 /// Decodes a wait update from untrusted bytes.
 ///
 /// # Errors
@@ -199,11 +180,6 @@
     decode_marked(&WAITS_MARK, bytes, MAX_PACKET_BYTES)
 }
 
-/// Returns whether a packet bears the mark of an envelope about shared limits.
-pub fn is_rights(bytes: &[u8]) -> bool {
-    bytes.starts_with(&RIGHTS_MARK)
-}
-
 /// Decodes an envelope about shared limits from untrusted bytes.
 ///
 /// # Errors
@@ -222,6 +198,41 @@
     decode_marked(&MEMBERSHIP_MARK, bytes, max_bytes)
 }
 
+/// A decoded UDP packet.
+#[derive(Debug)]
+pub(crate) enum Datagram {
+    /// A packet of the membership protocol.
+    Membership(Packet),
+    /// An envelope about shared limits.
+    Rights(Envelope),
+    /// A wait update.
+    Waits(WaitUpdate),
+    /// Outage reports.
+    Outages(Vec<OutageReport>),
+    /// A snapshot part.
+    SnapshotPart(SnapshotPart),
+    /// An envelope about duties.
+    Duty(duties::Envelope),
+}
+
+impl Datagram {
+    /// Decodes a packet of any kind from untrusted bytes.
+    ///
+    /// # Errors
+    ///
+    /// The bytes are not a packet of a known kind.
+    pub(crate) fn decode(bytes: &[u8]) -> Result<Self, CodecError> {
+        match bytes.first_chunk() {
+            Some(&RIGHTS_MARK) => decode_rights(bytes).map(Datagram::Rights),
+            Some(&WAITS_MARK) => decode_waits(bytes).map(Datagram::Waits),
+            Some(&OUTAGES_MARK) => decode_outages(bytes).map(Datagram::Outages),
+            Some(&SNAPSHOT_MARK) => decode_snapshot_part(bytes).map(Datagram::SnapshotPart),
+            Some(&DUTY_MARK) => decode_duty(bytes).map(Datagram::Duty),
+            _ => decode(bytes, MAX_PACKET_BYTES).map(Datagram::Membership),
+        }
+    }
+}
+
 fn decode_marked<T: DeserializeOwned>(mark: &[u8], bytes: &[u8], max_bytes: usize) -> Result<T, CodecError> {
     if bytes.len() > max_bytes {
         return Err(CodecError::TooLong(bytes.len()));
--- a/crates/fleet/src/codec/tests.rs
+++ b/crates/fleet/src/codec/tests.rs
@@ -22,6 +22,7 @@
 fn fits_and_round_trips_the_largest_membership_packet() {
     let bytes = encode(&largest_packet(), MAX_PACKET_BYTES).expect("fits");
     assert_eq!(decode::<Packet>(&bytes, MAX_PACKET_BYTES), Ok(largest_packet()));
+    assert!(matches!(Datagram::decode(&bytes), Ok(Datagram::Membership(_))));
     // Fields that a later build appends are ignored.
     let longer = [bytes.clone(), vec![1, 2, 3]].concat();
     assert_eq!(decode::<Packet>(&longer, MAX_PACKET_BYTES + 3), Ok(largest_packet()));
@@ -37,27 +38,28 @@
     let payloads = vec![Payload::Request(u64::MAX, request); MAX_PAYLOADS];
     let envelope = Envelope { instance: u64::MAX, to_instance: Some(u64::MAX), payloads };
     let bytes = encode_rights(&envelope).expect("fits");
-    assert!(
-        is_rights(&bytes) && decode::<Packet>(&bytes, MAX_PACKET_BYTES) == Err(CodecError::UnknownFormat)
-    );
+    assert!(matches!(Datagram::decode(&bytes), Ok(Datagram::Rights(_))));
+    assert_eq!(decode::<Packet>(&bytes, MAX_PACKET_BYTES), Err(CodecError::UnknownFormat));
     assert_eq!(decode_rights(&bytes), Ok(envelope));
     assert_eq!(decode_rights(&bytes[..90]), Err(CodecError::Malformed));
     let max = u64::MAX;
     let report = WaitReport { dest: max, origin: max, version: (max, max), remaining: max };
     let update = WaitUpdate { request_snapshot: true, reports: vec![report; MAX_REPORTS] };
     let bytes = encode_waits(&update).expect("fits");
-    assert!(is_waits(&bytes) && !is_rights(&bytes));
+    assert!(matches!(Datagram::decode(&bytes), Ok(Datagram::Waits(_))));
     assert_eq!(decode_waits(&bytes), Ok(update));
     let finding = yarrowhill_knowledge::Finding::Recovered(max);
     let outages = vec![OutageReport { dest: max, origin: max, version: (max, max), finding }; MAX_REPORTS];
     let bytes = encode_outages(&outages).expect("fits");
-    assert!(is_outages(&bytes) && !is_waits(&bytes));
+    assert!(matches!(Datagram::decode(&bytes), Ok(Datagram::Outages(_))));
     assert_eq!(decode_outages(&bytes), Ok(outages.clone()));
     assert_eq!(decode_outages(&bytes[..50]), Err(CodecError::Malformed));
     let parts = SnapshotPart::split(&vec![report; 30], &outages);
     assert_eq!(parts.iter().map(|p| (p.part, p.parts)).collect::<Vec<_>>(), [(0, 3), (1, 3), (2, 3)]);
     assert_eq!(parts.iter().map(|p| p.waits.len()).sum::<usize>(), 30);
-    assert_eq!(decode_snapshot_part(&encode_snapshot_part(&parts[0]).expect("fits")), Ok(parts[0].clone()));
+    let bytes = encode_snapshot_part(&parts[0]).expect("fits");
+    assert_eq!(decode_snapshot_part(&bytes), Ok(parts[0].clone()));
+    assert!(matches!(Datagram::decode(&bytes), Ok(Datagram::SnapshotPart(_))));
     assert_eq!(SnapshotPart::split(&[], &[]).len(), 1);
     let process = duties::ProcessId { member: max, instance: max };
     let ballot = duties::Ballot { number: max, proposer: process };
@@ -77,7 +79,7 @@
         duties::Payload::RecoveryResponse { nonce: max, flags, remembers, register, part: (254, 255) };
     let envelope = duties::Envelope { from: process, duty: max, payload };
     let bytes = encode_duty(&envelope).expect("fits");
-    assert!(is_duty(&bytes) && !is_rights(&bytes));
+    assert!(matches!(Datagram::decode(&bytes), Ok(Datagram::Duty(_))));
     assert_eq!(decode_duty(&bytes), Ok(envelope));
 }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,28 +9,34 @@
 //! - `codec`: encoding of packets
 //! - `registers`: a voter's duty registers in the state folder
 //! - `node`: the task that owns the sockets
+//! - `state_exchange`: exchange of full membership states
+//! - `handle`: access to the member for the rest of the process
+//! - `event_log`: log entries of membership events
 //! - `status`, `control`: status reports, and the Unix socket that serves them
 
 mod clock;
 mod codec;
 mod control;
 mod document;
+mod event_log;
+mod handle;
 mod identity;
 mod node;
 mod registers;
+mod state_exchange;
 mod status;
 
 pub use clock::now;
 pub use codec::{
     CodecError, MAX_FULL_STATE_BYTES, MAX_PACKET_BYTES, MAX_PART_REPORTS, MAX_REPORTS, SnapshotPart,
     WaitUpdate, decode, decode_duty, decode_outages, decode_rights, decode_snapshot_part, decode_waits,
-    encode, encode_duty, encode_outages, encode_rights, encode_snapshot_part, encode_waits, is_duty,
-    is_outages, is_rights, is_snapshot_part, is_waits,
+    encode, encode_duty, encode_outages, encode_rights, encode_snapshot_part, encode_waits,
 };
 pub use control::{ControlError, ask, serve};
 pub use document::{Diagnostic, Document, parse_document};
+pub use handle::Handle;
 pub use identity::{IdentityError, IdentityFile};
-pub use node::{FleetError, Handle, Node, Options};
+pub use node::{FleetError, Node, Options};
 pub use status::{
     DutiesStatus, KnowledgeStatus, LimitsStatus, MemberStatus, NamedDuty, NamedLimit, NamedOutage, NamedWait,
     Status,
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -1,54 +1,41 @@
-//! The task that owns the sockets: UDP for packets, TCP for full membership states.
+//! The task that owns the sockets: UDP for packets, TCP for exchanges of full membership states.
 
 use crate::clock;
 use crate::codec::{
-    CodecError, MAX_FULL_STATE_BYTES, MAX_PACKET_BYTES, MAX_PART_REPORTS, MAX_REPORTS, SnapshotPart,
-    WaitUpdate, decode, decode_duty, decode_outages, decode_rights, decode_snapshot_part, decode_waits,
-    encode, encode_duty, encode_outages, encode_rights, encode_snapshot_part, encode_waits, is_duty,
-    is_outages, is_rights, is_snapshot_part, is_waits,
+    CodecError, Datagram, MAX_PACKET_BYTES, MAX_PART_REPORTS, MAX_REPORTS, SnapshotPart, WaitUpdate, encode,
+    encode_duty, encode_outages, encode_rights, encode_snapshot_part, encode_waits,
 };
 use crate::document::Document;
+use crate::event_log::log_event;
+use crate::handle::{Handle, Shared, voter_set};
 use crate::identity::{IdentityError, IdentityFile};
 use crate::registers::RegisterFile;
-use crate::status::{DutiesStatus, KnowledgeStatus, LimitsStatus, Status};
-use std::collections::{BTreeMap, VecDeque};
+use crate::state_exchange;
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{Notify, Semaphore, watch};
-use tokio::time::{sleep, timeout};
-use yarrowhill_duties::{
-    self as duties, Candidate, Duties, HeldDuty, OperatorRequest, OperatorRequestError, Reason, StepError,
-    VoterSet,
-};
-use yarrowhill_knowledge::{
-    Admission, CallOutcome, InitialSync, OutageDetector, OutageReport, SlowStart, WaitReport, WaitTable,
-};
+use tokio::time::sleep;
+use yarrowhill_duties::{self as duties, Candidate, Duties};
+use yarrowhill_knowledge::{InitialSync, OutageDetector, OutageReport, SlowStart, WaitReport, WaitTable};
 use yarrowhill_membership::{
-    Event, FullState, Health, InstanceId, MemberId, Membership, MembershipState, Micros, Output, Packet,
-    Permits, Roster, RosterError,
+    Health, InstanceId, MemberId, Membership, Micros, Output, Packet, RosterError, ViewId,
 };
-use yarrowhill_rights::{Envelope, LeaseDurations, SharedLimits, retry_limit_id};
+use yarrowhill_rights::{Envelope, LeaseDurations, SharedLimits};
 
 /// Assumed bound on the relative error of clock rates.
 const MAX_CLOCK_DRIFT: f64 = 0.01;
 /// Maximum number of packets handled before other tasks of the process may run.
 const MAX_PACKETS_PER_WAKE: usize = 64;
-/// Time allowed for an exchange of full states.
-const SYNC_TIMEOUT: Duration = Duration::from_secs(2);
-/// Maximum number of concurrent exchanges that other members began; further connections are closed unread.
-const MAX_INCOMING_SYNCS: usize = 4;
 /// Maximum number of packets of a snapshot for a member that has just started.
 const MAX_SNAPSHOT_PACKETS: usize = 8;
 /// Placeholder for a member that does not share outages and so never applies a slow start.
 const NO_SLOW_START: SlowStart = SlowStart { probe_interval: 1, warm_up: 1, initial_fraction: 1.0 };
-/// Maximum number of duty events in the history.
-const MAX_HISTORY: usize = 64;
 /// Delay after a failure of a socket or of the disk.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -85,287 +72,6 @@
     pub slow_start: Option<SlowStart>,
 }
 
-struct Shared {
-    core: Mutex<Membership>,
-    limits: Mutex<SharedLimits>,
-    waits: Mutex<WaitTable>,
-    outages: Mutex<OutageDetector>,
-    duties: Mutex<Duties>,
-    /// Recent duty events by duty ID, oldest first.
-    history: Mutex<VecDeque<(u64, String)>>,
-    /// Whether outages are shared with other members and recorded.
-    share_outages: bool,
-    /// Requests a snapshot from other members until one has arrived completely.
-    initial_sync: Mutex<InitialSync>,
-    addresses: Mutex<BTreeMap<MemberId, SocketAddr>>,
-    /// Wakes the node's task, because there is something to send or a timer has changed.
-    wake: Notify,
-    senders: watch::Sender<usize>,
-    /// Number of malformed packets.
-    malformed: AtomicU64,
-    /// Number of packets that did not come from the address of their sender, and of connections that came
-    /// from unknown hosts or exceeded the maximum.
-    unknown_senders: AtomicU64,
-}
-
-/// Access to a [`Node`] for the rest of the process.
-#[derive(Clone)]
-pub struct Handle(Arc<Shared>);
-
-impl Handle {
-    fn core(&self) -> MutexGuard<'_, Membership> {
-        self.0.core.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Returns what this process may do now, by the clock read in this call. Call it as the last step before
-    /// sending: a process that was stopped since its last input then gets the permits of one whose state is
-    /// not known.
-    pub fn permits(&self) -> Permits {
-        self.core().permits(clock::now())
-    }
-
-    fn shared_limits(&self) -> MutexGuard<'_, SharedLimits> {
-        self.0.limits.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn waits(&self) -> MutexGuard<'_, WaitTable> {
-        self.0.waits.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn initial_sync(&self) -> MutexGuard<'_, InitialSync> {
-        self.0.initial_sync.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn outages(&self) -> MutexGuard<'_, OutageDetector> {
-        self.0.outages.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Decides whether a call to a destination may begin now, by the waits that the destination returned to
-    /// any member, by the outages that members found, and by the shared limits. Call it as the last step
-    /// before the first byte. `is_retry`: every message in the call has been attempted before.
-    /// `was_deferred`: this call was deferred before.
-    ///
-    /// # Errors
-    ///
-    /// The call must be deferred; the error is the delay after which to ask again.
-    pub fn begin(&self, dest: u64, is_retry: bool, was_deferred: bool) -> Result<(), Duration> {
-        let now = clock::now();
-        let limits = [dest, retry_limit_id(dest)];
-        let limits = &limits[..1 + usize::from(is_retry)];
-        let wait = self.waits().wait(now, dest);
-        let admission = match wait {
-            Some(wait) => Admission::Defer(wait),
-            None if self.0.share_outages => self.outages().admit(now, dest),
-            None => Admission::Fraction(1.0),
-        };
-        let fraction = match admission {
-            Admission::Fraction(fraction) => fraction,
-            Admission::Probe => 1.0,
-            Admission::Defer(wait) => {
-                if !was_deferred {
-                    self.shared_limits().record_demand(now, limits);
-                }
-                return Err(Duration::from_micros(wait));
-            }
-        };
-        let begun = self.shared_limits().try_begin(now, limits, fraction, was_deferred);
-        if begun.is_err() {
-            if admission == Admission::Probe {
-                self.outages().cancel_probe(dest);
-            }
-            if !was_deferred {
-                self.0.wake.notify_one();
-            }
-        }
-        begun.map_err(Duration::from_micros)
-    }
-
-    /// Records that a destination asked this forwarder to wait for `duration`.
-    pub fn record_wait(&self, dest: u64, duration: Duration) {
-        let (now, duration) = (clock::now(), Micros::try_from(duration.as_micros()).unwrap_or(Micros::MAX));
-        self.waits().record_wait(now, dest, duration);
-        if self.0.share_outages {
-            self.outages().record_shutdown(now, dest, now.saturating_add(duration));
-        }
-        self.0.wake.notify_one();
-    }
-
-    /// Records the outcome of a call that began `took` ago and has just ended.
-    pub fn record_call_end(&self, dest: u64, took: Duration, outcome: CallOutcome) {
-        let now = clock::now();
-        let began = now.saturating_sub(Micros::try_from(took.as_micros()).unwrap_or(Micros::MAX));
-        if outcome == CallOutcome::Served {
-            self.waits().record_success(now, dest, began);
-        }
-        if self.0.share_outages {
-            let mut outages = self.outages();
-            outages.record_call_end(now, dest, began, outcome);
-            let has_updates = outages.has_updates(now);
-            drop(outages);
-            // Without updates there is nothing to send.
-            if has_updates {
-                self.0.wake.notify_one();
-            }
-        }
-    }
-
-    fn duties(&self) -> MutexGuard<'_, Duties> {
-        self.0.duties.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Returns a duty if this process holds it now, by the clock read in this call. Call it again as the last
-    /// step before each act under the duty. Returns `None` while another process runs under the same member
-    /// name, and once this member is leaving.
-    pub fn held_duty(&self, name: &str) -> Option<HeldDuty> {
-        let now = clock::now();
-        if matches!(self.core().state(now), MembershipState::DuplicateName | MembershipState::Leaving) {
-            return None;
-        }
-        self.duties().held(now, duties::Duty::new(name).id())
-    }
-
-    /// Returns whether an act of the given duration may begin now under a held duty.
-    pub fn may_act(&self, held: &HeldDuty, duration: Duration) -> bool {
-        held.may_act(clock::now(), Micros::try_from(duration.as_micros()).unwrap_or(Micros::MAX))
-    }
-
-    /// Records the progress made under a held duty as its next step, and returns the step's number.
-    ///
-    /// # Errors
-    ///
-    /// The duty is no longer held under that token, the previous step is not decided yet, or `progress` is
-    /// too long.
-    pub fn record_step(&self, held: &HeldDuty, progress: Vec<u8>) -> Result<u64, StepError> {
-        let step = self.duties().record_step(clock::now(), held, progress);
-        self.0.wake.notify_one();
-        step
-    }
-
-    /// Carries out an operator's request about a duty.
-    ///
-    /// # Errors
-    ///
-    /// There is no such duty, it has no holder, or the member is not present.
-    pub fn operator_request(&self, duty: &str, request: OperatorRequest) -> Result<(), OperatorRequestError> {
-        let result = self.duties().operator_request(clock::now(), duty, request);
-        self.0.wake.notify_one();
-        result
-    }
-
-    /// Reports the duties as this member knows them.
-    pub fn duties_status(&self) -> DutiesStatus {
-        let (roster, now) = (self.roster(), clock::now());
-        let history = self.0.history.lock().unwrap_or_else(PoisonError::into_inner);
-        let history: Vec<(u64, String)> = history.iter().cloned().collect();
-        DutiesStatus::new(&self.duties(), now, &roster, &history)
-    }
-
-    /// Reports the waits and outages of destinations as this member knows them.
-    pub fn knowledge_status(&self) -> KnowledgeStatus {
-        let (roster, now) = (self.roster(), clock::now());
-        let is_syncing = self.initial_sync().is_pending(now);
-        KnowledgeStatus::new(&self.waits(), &self.outages(), now, &roster, is_syncing)
-    }
-
-    /// Reports the shared limits as this member knows them.
-    pub fn limits_status(&self) -> LimitsStatus {
-        let roster = self.roster();
-        let shared_limits = self.shared_limits();
-        LimitsStatus::new(&shared_limits, clock::now(), &roster)
-    }
-
-    /// Reports the membership as this member knows it.
-    pub fn status(&self) -> Status {
-        let dropped =
-            [self.0.malformed.load(Ordering::Relaxed), self.0.unknown_senders.load(Ordering::Relaxed)];
-        Status::new(&self.core(), clock::now(), dropped)
-    }
-
-    /// Returns a channel with the number of senders that shared limits are divided among.
-    pub fn senders(&self) -> watch::Receiver<usize> {
-        self.0.senders.subscribe()
-    }
-
-    /// Applies another fleet document, with a roster that may succeed the current one, or with the same
-    /// roster and other addresses or limits.
-    ///
-    /// # Errors
-    ///
-    /// The roster may not succeed the current one, or lacks this member; nothing is changed then.
-    pub fn apply_document(&self, document: Document) -> Result<(), RosterError> {
-        let mut core = self.core();
-        if document.roster.reference() != core.roster().reference() {
-            core.change_roster(clock::now(), document.roster)?;
-        }
-        self.shared_limits().set_limits(clock::now(), core.roster().len(), &document.limits);
-        self.duties().set_voters(clock::now(), voter_set(core.roster()));
-        *self.0.addresses.lock().unwrap_or_else(PoisonError::into_inner) = document.addresses;
-        self.0.wake.notify_one();
-        Ok(())
-    }
-
-    /// Announces to the other members that this process is shutting down, and releases its duties.
-    pub fn leave(&self) {
-        self.core().leave(clock::now());
-        self.duties().release_all(clock::now(), Reason::Leaving);
-        self.0.wake.notify_one();
-    }
-
-    /// Returns the roster in force.
-    pub fn roster(&self) -> Roster {
-        self.core().roster().clone()
-    }
-
-    /// Logs a change of a duty and adds it to the history.
-    fn log_duty_event(&self, event: &duties::Event) {
-        let name = |id: u64| {
-            let duties = self.duties();
-            duties
-                .duties()
-                .find(|(other, _)| *other == id)
-                .map_or("?".to_owned(), |(_, duty)| duty.name.clone())
-        };
-        let (duty, text) = match *event {
-            duties::Event::Acquired { duty, token, step } => {
-                (duty, format!("acquired under token {token} after {step} steps"))
-            }
-            duties::Event::Expired { duty, token } => {
-                (duty, format!("lost under token {token}: lease expired"))
-            }
-            duties::Event::Released { duty, token, reason } => {
-                (duty, format!("released under token {token}: {reason:?}"))
-            }
-            duties::Event::StepDecided { .. } => return,
-            duties::Event::VotingStarted => return tracing::info!("duties: this member votes"),
-            duties::Event::VotingSuspended => {
-                return tracing::warn!(
-                    "duties: this member may have lost promises and does not vote until it has recovered"
-                );
-            }
-        };
-        tracing::info!(duty = name(duty), "duties: {text}");
-        let mut history = self.0.history.lock().unwrap_or_else(PoisonError::into_inner);
-        if history.len() >= MAX_HISTORY {
-            history.pop_front();
-        }
-        history.push_back((duty, text));
-    }
-
-    fn address(&self, id: MemberId) -> Option<SocketAddr> {
-        self.0.addresses.lock().unwrap_or_else(PoisonError::into_inner).get(&id).copied()
-    }
-
-    fn member_at(&self, from: SocketAddr) -> Option<MemberId> {
-        let addresses = self.0.addresses.lock().unwrap_or_else(PoisonError::into_inner);
-        addresses.iter().find(|(_, a)| **a == from).map(|(id, _)| *id)
-    }
-
-    fn is_member_host(&self, from: SocketAddr) -> bool {
-        let addresses = self.0.addresses.lock().unwrap_or_else(PoisonError::into_inner);
-        addresses.values().any(|a| a.ip() == from.ip())
-    }
-}
-
 /// A member of the fleet with its sockets and files.
 pub struct Node {
     handle: Handle,
@@ -374,7 +80,7 @@
     identity: IdentityFile,
     registers: RegisterFile,
     /// View, permission to hold duties and change count that the duties' candidates were last set from.
-    candidates_basis: Option<(yarrowhill_membership::ViewId, bool, u64)>,
+    candidates_basis: Option<(ViewId, bool, u64)>,
     /// Boot number that could not be written yet, and the time of the next attempt.
     pending_boot: Option<(u64, Micros)>,
     /// Interval between two rounds of updates about destinations.
@@ -450,7 +156,7 @@
 
     /// Runs the member until the task is dropped.
     pub async fn run(mut self) {
-        let sync_permits = Arc::new(Semaphore::new(MAX_INCOMING_SYNCS));
+        let exchange_permits = Arc::new(Semaphore::new(state_exchange::MAX_INCOMING));
         // Longer than the maximum, so that a packet that is too long is not truncated to a valid length.
         let mut buffer = [0u8; MAX_PACKET_BYTES + 8];
         loop {
@@ -481,7 +187,9 @@
                     }
                 }
                 accepted = self.tcp.accept() => match accepted {
-                    Ok((stream, from)) => self.accept_sync(stream, from, &sync_permits),
+                    Ok((stream, from)) => {
+                        state_exchange::accept(self.handle(), stream, from, &exchange_permits);
+                    },
                     Err(e) => {
                         tracing::warn!("fleet: cannot accept connections: {e}");
                         sleep(RETRY_DELAY).await;
@@ -499,45 +207,29 @@
             self.handle.0.unknown_senders.fetch_add(1, Ordering::Relaxed);
             return;
         };
-        if is_waits(bytes) {
-            return match decode_waits(bytes) {
-                Ok(update) => self.handle_waits(id, &update).await,
-                Err(_) => drop(self.handle.0.malformed.fetch_add(1, Ordering::Relaxed)),
-            };
-        }
-        if is_outages(bytes) {
-            return match decode_outages(bytes) {
-                Ok(reports) => self.record_outages(&reports),
-                Err(_) => drop(self.handle.0.malformed.fetch_add(1, Ordering::Relaxed)),
-            };
-        }
-        if is_duty(bytes) {
-            return match decode_duty(bytes) {
-                Ok(envelope) => self.handle_duty(id, envelope),
-                Err(_) => drop(self.handle.0.malformed.fetch_add(1, Ordering::Relaxed)),
-            };
-        }
-        if is_snapshot_part(bytes) {
-            return match decode_snapshot_part(bytes) {
-                Ok(part) => self.handle_snapshot_part(id, &part),
-                Err(_) => drop(self.handle.0.malformed.fetch_add(1, Ordering::Relaxed)),
-            };
+        match Datagram::decode(bytes) {
+            Ok(Datagram::Waits(update)) => self.handle_waits(id, &update).await,
+            Ok(Datagram::Outages(reports)) => self.record_outages(&reports),
+            Ok(Datagram::Duty(envelope)) => self.handle_duty(id, envelope),
+            Ok(Datagram::SnapshotPart(part)) => self.handle_snapshot_part(id, &part),
+            Ok(Datagram::Rights(envelope)) => self.handle_rights(id, &envelope).await,
+            Ok(Datagram::Membership(packet)) => self.handle_packet(id, packet),
+            Err(_) => drop(self.handle.0.malformed.fetch_add(1, Ordering::Relaxed)),
         }
-        if is_rights(bytes) {
-            return match decode_rights(bytes) {
-                Ok(envelope) => {
-                    let answer = self.handle.shared_limits().handle(clock::now(), id.0, &envelope);
-                    if let Some(answer) = answer {
-                        self.send_rights(id, &answer).await;
-                    }
-                }
-                Err(_) => drop(self.handle.0.malformed.fetch_add(1, Ordering::Relaxed)),
-            };
+    }
+
+    fn handle_packet(&self, from: MemberId, packet: Packet) {
+        if packet.header.from != from {
+            self.handle.0.unknown_senders.fetch_add(1, Ordering::Relaxed);
+            return;
         }
-        match decode::<Packet>(bytes, MAX_PACKET_BYTES) {
-            Ok(packet) if packet.header.from == id => self.handle.core().handle(clock::now(), packet),
-            Ok(_) => drop(self.handle.0.unknown_senders.fetch_add(1, Ordering::Relaxed)),
-            Err(_) => drop(self.handle.0.malformed.fetch_add(1, Ordering::Relaxed)),
+        self.handle.core().handle(clock::now(), packet);
+    }
+
+    async fn handle_rights(&self, from: MemberId, envelope: &Envelope) {
+        let answer = self.handle.shared_limits().handle(clock::now(), from.0, envelope);
+        if let Some(answer) = answer {
+            self.send_rights(from, &answer).await;
         }
     }
 
@@ -556,7 +248,7 @@
             for output in outputs {
                 match output {
                     Output::Send { to, packet } => self.send_packet(to, &packet).await,
-                    Output::Sync { with } => self.sync_with(with),
+                    Output::Sync { with } => state_exchange::start(self.handle(), with),
                     Output::Persist { boot } => self.persist_boot(boot),
                     Output::Event(event) => log_event(&self.handle, &event),
                 }
@@ -807,103 +499,4 @@
             }
         }
     }
-
-    /// Starts an exchange of full states with a member, as a task of its own.
-    fn sync_with(&self, with: MemberId) {
-        let Some(address) = self.handle.address(with) else { return };
-        let handle = self.handle.clone();
-        tokio::spawn(async move {
-            let exchange = async {
-                let mut stream = TcpStream::connect(address).await?;
-                let local = handle.core().full_state();
-                write_full_state(&mut stream, &local).await?;
-                read_full_state(&mut stream).await
-            };
-            if let Ok(Ok(state)) = timeout(SYNC_TIMEOUT, exchange).await
-                && state.header.from == with
-            {
-                handle.core().merge_full_state(clock::now(), state);
-                handle.0.wake.notify_one();
-            }
-        });
-    }
-
-    /// Answers an exchange of full states that another member began, as a task of its own.
-    fn accept_sync(&self, mut stream: TcpStream, from: SocketAddr, permits: &Arc<Semaphore>) {
-        let permit = permits.clone().try_acquire_owned();
-        let (true, Ok(permit)) = (self.handle.is_member_host(from), permit) else {
-            self.handle.0.unknown_senders.fetch_add(1, Ordering::Relaxed);
-            return;
-        };
-        let handle = self.handle.clone();
-        tokio::spawn(async move {
-            let _permit = permit;
-            let exchange = async {
-                let state = read_full_state(&mut stream).await?;
-                let local = {
-                    let mut core = handle.core();
-                    if !core.merge_full_state(clock::now(), state) {
-                        return Err(io::ErrorKind::PermissionDenied.into());
-                    }
-                    core.full_state()
-                };
-                handle.0.wake.notify_one();
-                write_full_state(&mut stream, &local).await
-            };
-            let _ = timeout(SYNC_TIMEOUT, exchange).await;
-        });
-    }
-}
-
-async fn write_full_state(stream: &mut TcpStream, state: &FullState) -> io::Result<()> {
-    let bytes = encode(state, MAX_FULL_STATE_BYTES).map_err(io::Error::other)?;
-    let length = u32::try_from(bytes.len()).map_err(io::Error::other)?;
-    stream.write_all(&[&length.to_be_bytes()[..], &bytes].concat()).await
-}
-
-async fn read_full_state(stream: &mut TcpStream) -> io::Result<FullState> {
-    let length = stream.read_u32().await? as usize;
-    if length > MAX_FULL_STATE_BYTES {
-        return Err(io::ErrorKind::InvalidData.into());
-    }
-    let mut bytes = Vec::new();
-    // Grows as bytes arrive, so that a length alone does not allocate memory.
-    stream.take(length as u64).read_to_end(&mut bytes).await?;
-    decode(&bytes, MAX_FULL_STATE_BYTES).map_err(io::Error::other)
-}
-
-/// Returns the voters for duties: those of the roster, and of the previous one where the roster is joint.
-fn voter_set(roster: &Roster) -> VoterSet {
-    let ids = |ids: Vec<MemberId>| ids.into_iter().map(|id| id.0).collect();
-    let (current, previous) = roster.electorate();
-    VoterSet { current: ids(current), previous: previous.map(ids) }
-}
-
-/// Logs a membership event.
-fn log_event(handle: &Handle, event: &Event) {
-    let roster = handle.roster();
-    let name = |id: &MemberId| roster.name_of(*id).unwrap_or("?").to_owned();
-    match event {
-        Event::ViewChanged(view) => {
-            let present: Vec<String> = view.members.keys().map(name).collect();
-            let missing: Vec<String> = roster
-                .members()
-                .map(|(id, _)| id)
-                .filter(|id| !view.members.contains_key(id))
-                .map(|id| name(&id))
-                .collect();
-            tracing::info!(view = %view.id, there = present.len(), ?missing, "fleet: view changed");
-        }
-        Event::StateChanged { from, to } => tracing::info!(%from, %to, "fleet: state changed"),
-        Event::RosterMismatch { member, roster: theirs } => {
-            let mine = roster.reference();
-            tracing::warn!(
-                with = name(member),
-                theirs = format!("{}:{:016x}", theirs.version, theirs.hash),
-                mine = format!("{}:{:016x}", mine.version, mine.hash),
-                "fleet: a member uses another roster"
-            );
-        }
-        Event::Resumed(duration) => tracing::warn!(ms = duration / 1000, "fleet: this process was stopped"),
-    }
 }
