--- a/crates/duties/src/core.rs
+++ b/crates/duties/src/core.rs
@@ -1,14 +1,18 @@
 //! All duties of one member: its part as a voter, and its part as a candidate or holder.
 
-use crate::ballot::{Ballot, Lease, Micros, ProcessId, VoterSet};
-use crate::proposer::{
-    AcceptedSummary, KnownState, Proposer, ProposerContext, RegisterSummary, VoterRequest,
-};
+mod status;
+mod voting;
+
+use crate::ballot::{Lease, Micros, ProcessId, VoterSet};
+use crate::held_duty::HeldDuty;
+use crate::message::{Envelope, OperatorRequest, OperatorRequestError, Payload};
+use crate::output::{Event, Output};
+use crate::proposer::{Proposer, ProposerContext, VoterRequest};
 use crate::ranking::{Candidate, Duty, rank_candidates};
-use crate::register::{Reason, Register, RegisterValue, Response};
+use crate::register::{Reason, Response};
 use crate::term::{Decision, StepError, Write};
-use crate::voter::{StoredVoter, VoteStatus, Voter, VoterFlags};
-use serde::{Deserialize, Serialize};
+use crate::voter::{StoredVoter, VoteStatus, Voter};
+pub use status::DutyStatus;
 use std::collections::BTreeMap;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -20,201 +24,6 @@
 /// every third of a lease.
 const UNFIT_DELAY_DIVISOR: u64 = 2;
 
-/// A message between members.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Envelope {
-    /// Process that sent the message.
-    pub from: ProcessId,
-    /// ID of the duty that the message is about; 0 if it is about none.
-    pub duty: u64,
-    /// Content of the message.
-    pub payload: Payload,
-}
-
-/// The content of a message between members.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Payload {
-    /// Asks a voter who holds the duty.
-    Query,
-    /// Answers a query, from a voter.
-    QueryReply(RegisterSummary),
-    /// Asks a voter to promise a ballot.
-    Prepare(Ballot),
-    /// Asks a voter to accept a write.
-    Accept {
-        /// Ballot of the write.
-        ballot: Ballot,
-        /// Sequence number of the write within its ballot.
-        seq: u64,
-        /// Value to write.
-        value: RegisterValue,
-        /// Write count of each voter, as far as the proposer knows: it is passed on so that all voters
-        /// remember it, and not the proposer alone.
-        write_counts: Vec<(u64, u64)>,
-    },
-    /// Answers a prepare or accept request, with the voter's write count.
-    Response(Response, u64),
-    /// Asks the other voters for what a voter that starts may have lost.
-    RecoveryRequest {
-        /// Number of the request.
-        nonce: u64,
-    },
-    /// Answers a recovery request, from another voter. One is sent for each register that it keeps.
-    RecoveryResponse {
-        /// Number of the request.
-        nonce: u64,
-        /// State of the responding voter.
-        flags: VoterFlags,
-        /// Latest boot number and instance, and highest write count, that the responding voter remembers of
-        /// the requesting voter.
-        remembers: (Option<(u64, u64)>, u64),
-        /// Register of the envelope's duty.
-        register: Option<Register>,
-        /// Index of this part, and number of parts.
-        part: (u8, u8),
-    },
-    /// Passes an operator's request on to the holder.
-    OperatorRequest(OperatorRequest),
-    /// Notifies the members that should acquire the duty next that its holder has released it, so that they
-    /// need not wait for their next query.
-    Released {
-        /// Member that the duty is pinned to.
-        pinned: Option<u64>,
-    },
-}
-
-/// What an operator can request of a duty.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum OperatorRequest {
-    /// The holder releases the duty.
-    Yield,
-    /// A member holds the duty whenever it is live; none leaves the choice to the ranking.
-    Pin(Option<u64>),
-}
-
-/// Why an operator's request cannot be passed on.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum OperatorRequestError {
-    /// There is no such duty.
-    #[error("unknown duty {0:?}")]
-    UnknownDuty(String),
-    /// No member holds the duty, as far as this member knows.
-    #[error("no holder of the duty is known at present; try again")]
-    NoKnownHolder,
-    /// The member to pin the duty to is not live.
-    #[error("the member to pin the duty to is not present in the fleet")]
-    MemberNotPresent,
-}
-
-/// An action for the host. Outputs are to be carried out in order.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Output {
-    /// Write the state to disk before any later output is carried out, and call [`Duties::persisted`]. If
-    /// that fails, the later outputs are to be dropped.
-    Persist(StoredVoter),
-    /// Erase the stored state before any later output is carried out.
-    Erase,
-    /// Send a message. One to the local member is to be passed to [`Duties::handle`].
-    Send {
-        /// Member to send to.
-        to: u64,
-        /// Message to send.
-        envelope: Envelope,
-    },
-    /// Report an event.
-    Event(Event),
-}
-
-/// A change to report.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Event {
-    /// The local member holds a duty from now on.
-    Acquired {
-        /// ID of the duty.
-        duty: u64,
-        /// Token of the term.
-        token: u64,
-        /// Number of progress steps so far.
-        step: u64,
-    },
-    /// The lease on a duty has expired.
-    Expired {
-        /// ID of the duty.
-        duty: u64,
-        /// Token of the term.
-        token: u64,
-    },
-    /// The local member has released a duty.
-    Released {
-        /// ID of the duty.
-        duty: u64,
-        /// Token of the term.
-        token: u64,
-        /// Why it was released.
-        reason: Reason,
-    },
-    /// A progress step is decided.
-    StepDecided {
-        /// ID of the duty.
-        duty: u64,
-        /// Token of the term.
-        token: u64,
-        /// Number of the step.
-        step: u64,
-    },
-    /// The local voter answers requests from now on.
-    VotingStarted,
-    /// The local voter may have lost promises, and answers no requests until it has recovered.
-    VotingSuspended,
-}
-
-/// A duty that the local member holds. Its token is to be sent along with each action, and
-/// [`HeldDuty::may_act`] is to be checked immediately before.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct HeldDuty {
-    /// ID of the duty.
-    pub duty: u64,
-    /// Fencing token, higher than that of any earlier term.
-    pub token: u64,
-    /// End of the lease by the holder's clock.
-    pub until: Micros,
-    /// Number of progress steps so far.
-    pub step: u64,
-    /// Progress data of the last step.
-    pub progress: Vec<u8>,
-}
-
-impl HeldDuty {
-    /// Returns whether an action that takes `duration` may begin at `now`, so that it ends before another
-    /// member can hold the duty.
-    pub fn may_act(&self, now: Micros, duration: Micros) -> bool {
-        now.saturating_add(duration) < self.until
-    }
-}
-
-/// State of a duty as known to the local member, for operators.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct DutyStatus {
-    /// Name of the duty.
-    pub name: String,
-    /// Member that holds the duty, as far as is known.
-    pub holder: Option<u64>,
-    /// Token of the current or last term.
-    pub token: u64,
-    /// Time left of the lease (milliseconds).
-    pub left_ms: u64,
-    /// Age of this information (milliseconds).
-    pub age_ms: u64,
-    /// Why the last term ended.
-    pub reason: Reason,
-    /// Member that the duty is pinned to.
-    pub pinned: Option<u64>,
-    /// Number of progress steps so far.
-    pub step: u64,
-    /// Members that should hold the duty, best first.
-    pub ranks: Vec<u64>,
-}
-
 /// All duties of one member.
 #[derive(Clone, Debug)]
 pub struct Duties {
@@ -300,17 +109,6 @@
         }
     }
 
-    /// Suspends voting because other members know of a later process of this member than its folder does.
-    pub fn suspend_voting(&mut self, now: Micros) {
-        if let Some(voter) = &mut self.voter {
-            let before = voter.status();
-            voter.suspend(now, self.lease);
-            if voter.status() != before {
-                self.on_voting_suspended();
-            }
-        }
-    }
-
     /// Sets the members whose responses count from now on. A member that becomes a voter has promised nothing
     /// yet, and recovers the registers first.
     pub fn set_voters(&mut self, now: Micros, voters: VoterSet) {
@@ -527,39 +325,6 @@
         }
     }
 
-    /// Handles a request to the local voter.
-    fn handle_voter_request(&mut self, now: Micros, by: ProcessId, duty: u64, payload: Payload) {
-        let lease = self.lease;
-        let Some(leased) = self.voter.as_mut().and_then(|voter| voter.register_mut(duty)) else { return };
-        let reply = match payload {
-            Payload::Query => {
-                let (promised, lease) = (leased.register.promised, leased.active_lease(now));
-                let accepted = leased.register.accepted.as_ref().map(AcceptedSummary::from_accepted);
-                let summary = RegisterSummary { promised, lease, accepted };
-                return self.send(by.member, duty, Payload::QueryReply(summary));
-            }
-            Payload::Prepare(ballot) if ballot.proposer == by => leased.prepare(now, ballot),
-            Payload::Accept { ballot, seq, value, write_counts } if ballot.proposer == by => {
-                for (voter, write_count) in write_counts.into_iter().take(MAX_WRITE_COUNTS) {
-                    if self.voters.contains(voter) {
-                        let highest = self.write_counts.entry(voter).or_default();
-                        *highest = (*highest).max(write_count);
-                    }
-                }
-                leased.accept(now, lease, ballot, seq, value)
-            }
-            _ => return,
-        };
-        let Some(voter) = &mut self.voter else { return };
-        // An earlier change that could not be written to a full disk must be persisted too before this
-        // response reveals it, even if this request changes nothing.
-        if reply.changed || voter.has_unpersisted_write() {
-            self.outputs.push(Output::Persist(voter.begin_write()));
-        }
-        let write_count = voter.write_count();
-        self.send(by.member, duty, Payload::Response(reply.response, write_count));
-    }
-
     /// Handles a voter's response to a prepare or accept request of the local member.
     fn handle_response(&mut self, now: Micros, by: u64, duty: u64, response: Response) {
         let rank = self.rank(duty);
@@ -621,60 +386,6 @@
         }
     }
 
-    // ---- Voting ----
-
-    fn tick_voter(&mut self, now: Micros) {
-        let Some(voter) = &mut self.voter else { return };
-        let (nonce, started) = voter.tick(now, self.lease, &self.voters);
-        if started {
-            self.on_voting_started();
-        }
-        if let Some(nonce) = nonce {
-            for to in self.voters.voters() {
-                if to != self.local.member {
-                    self.send(to, 0, Payload::RecoveryRequest { nonce });
-                }
-            }
-        }
-    }
-
-    fn on_voting_started(&mut self) {
-        if let Some(voter) = &mut self.voter {
-            // The folder records that the voter has started to vote, even if nothing is decided yet.
-            self.outputs.push(Output::Persist(voter.begin_write()));
-            self.outputs.push(Output::Event(Event::VotingStarted));
-        }
-    }
-
-    fn on_voting_suspended(&mut self) {
-        // Goes before all other outputs: the next start must not trust the stored state.
-        self.outputs.insert(0, Output::Erase);
-        self.outputs.push(Output::Event(Event::VotingSuspended));
-    }
-
-    /// Handles a recovery request of another voter that starts, and may have lost promises.
-    fn handle_recovery_request(&mut self, by: ProcessId, nonce: u64) {
-        let Some(voter) = &self.voter else { return };
-        let flags = voter.flags();
-        let write_count = self.write_counts.get(&by.member).copied().unwrap_or(0);
-        let remembers = (self.instances.get(&by.member).copied(), write_count);
-        let mut registers: Vec<(u64, Option<Register>)> = if flags.voting {
-            voter.registers().into_iter().map(|(d, r)| (d, Some(r))).collect()
-        } else {
-            Vec::new()
-        };
-        if registers.is_empty() {
-            registers.push((0, None));
-        }
-        let count = registers.len();
-        for (n, (duty, register)) in registers.into_iter().enumerate() {
-            let part = (n as u8, count as u8);
-            self.send(by.member, duty, Payload::RecoveryResponse { nonce, flags, remembers, register, part });
-        }
-    }
-
-    // ---- Helpers ----
-
     /// Returns the local member's position in the ranking of a duty, if it may acquire duties and is ranked.
     fn rank(&self, duty: u64) -> Option<usize> {
         let configured = self.duties.get(&duty).filter(|_| self.may_propose)?;
@@ -708,55 +419,6 @@
     fn send(&mut self, to: u64, duty: u64, payload: Payload) {
         self.outputs.push(Output::Send { to, envelope: Envelope { from: self.local, duty, payload } });
     }
-
-    // ---- Status ----
-
-    /// Returns the state of the local voter.
-    pub fn vote_status(&self) -> VoteStatus {
-        self.voter.as_ref().map_or(VoteStatus::NonVoter, Voter::status)
-    }
-
-    /// Returns the state of each duty as known to the local member.
-    pub fn status(&self, now: Micros) -> Vec<DutyStatus> {
-        let status = |(id, duty): (&u64, &Duty)| {
-            let proposer = self.proposers.get(id)?;
-            let held = proposer.term().filter(|term| term.is_held(now));
-            let value = held.and_then(|term| term.decided());
-            let KnownState { accepted, lease_until, updated_at } = proposer.known_state();
-            let reason = value.map(|v| v.reason).or(accepted.map(|a| a.reason)).unwrap_or_default();
-            let pinned = value.map_or(accepted.and_then(|a| a.pinned), |v| v.pinned);
-            let known_holder =
-                accepted.filter(|_| now < lease_until).and_then(|a| a.holder).map(|process| process.member);
-            Some(DutyStatus {
-                name: duty.name.clone(),
-                holder: held.map(|_| self.local.member).or(known_holder),
-                token: held.map_or(accepted.map_or(0, |a| a.version.0.number), |term| term.token()),
-                left_ms: held.map_or(lease_until, |term| term.until()).saturating_sub(now) / 1000,
-                age_ms: if held.is_some() { 0 } else { now.saturating_sub(updated_at) / 1000 },
-                reason,
-                pinned,
-                step: value.map(|v| v.step).or(accepted.map(|a| a.step)).unwrap_or(0),
-                ranks: rank_candidates(duty, pinned, &self.candidates),
-            })
-        };
-        self.duties.iter().filter_map(status).collect()
-    }
-
-    /// Returns the configured duties by ID.
-    pub fn duties(&self) -> impl Iterator<Item = (u64, &Duty)> {
-        self.duties.iter().map(|(id, duty)| (*id, duty))
-    }
-
-    /// Returns the token of the last write that the local voter has accepted; for checks.
-    pub fn accepted_token(&self, duty: u64) -> Option<u64> {
-        let leased = self.voter.as_ref()?.register(duty)?;
-        leased.register.accepted.as_ref().map(|a| a.ballot.number)
-    }
-
-    /// Makes the next query about a duty due at `now`, if it is due later.
-    pub fn query_now(&mut self, now: Micros, duty: u64) {
-        self.proposers.get_mut(&duty).into_iter().for_each(|p| p.query_by(now));
-    }
 }
 
 /// Returns a pseudo-random delay of up to an eighth of a lease, the same for the same arguments.
--- a/crates/duties/src/lib.rs
+++ b/crates/duties/src/lib.rs
@@ -26,9 +26,13 @@
 //! - `register`: a duty's register at one voter; `voter`: when a voter may answer
 //! - `term`: what a holder writes; `proposer`: how a member acquires a duty
 //! - `ranking`: which member should hold a duty; `core`: all duties of a member
+//! - `message`: messages between members; `output`: actions for the host; `held_duty`: a duty while it is held
 
 mod ballot;
 mod core;
+mod held_duty;
+mod message;
+mod output;
 mod proposer;
 mod ranking;
 mod register;
@@ -36,10 +40,10 @@
 mod voter;
 
 pub use ballot::{Ballot, Lease, Micros, ProcessId, VoterSet};
-pub use core::{
-    Duties, DutyStatus, Envelope, Event, HeldDuty, MAX_DUTIES, OperatorRequest, OperatorRequestError, Output,
-    Payload,
-};
+pub use core::{Duties, DutyStatus, MAX_DUTIES};
+pub use held_duty::HeldDuty;
+pub use message::{Envelope, OperatorRequest, OperatorRequestError, Payload};
+pub use output::{Event, Output};
 pub use proposer::{AcceptedSummary, KnownState, Proposer, ProposerContext, RegisterSummary, VoterRequest};
 pub use ranking::{Candidate, Duty, MAX_RANKED, rank_candidates};
 pub use register::{
