Count a completed write of duty registers for no later write

What callers saw: nothing so far. By reading, a voter could answer with a promise that is not on its disk, and two members could hold a duty after it is killed.

Cause: a voter that answers two requests in one turn writes its registers twice, and the success of the first write marked all state as written. Where the second write fails, the voter holds back that answer, but answers the next request that changes nothing without writing.

Fix: Voter::persisted takes the write count of the state that was written, and state counts as unpersisted while a later write has begun.

Evidence: a_completed_write_does_not_count_for_a_later_one failed before, with the call that had no number, and passes. The tests of the package pass.

--- a/crates/attack/src/duties.rs
+++ b/crates/attack/src/duties.rs
@@ -494,8 +494,8 @@
                 match output {
                     Output::Persist(_) if self.disk.full => break,
                     Output::Persist(stored) => {
+                        self.duties.persisted(stored.write_count);
                         self.disk.written.push(stored);
-                        self.duties.persisted();
                     }
                     Output::Erase => self.disk.written.clear(),
                     Output::Send { to, envelope } if to == self.local_id => own.push(envelope),
--- a/crates/duties/src/core.rs
+++ b/crates/duties/src/core.rs
@@ -157,9 +157,9 @@
         Ok(step)
     }
 
-    /// Records that the state of the last [`Output::Persist`] is on disk.
-    pub fn persisted(&mut self) {
-        self.voter.iter_mut().for_each(Voter::persisted);
+    /// Records that the state of an [`Output::Persist`] with this write count is on disk.
+    pub fn persisted(&mut self, write_count: u64) {
+        self.voter.iter_mut().for_each(|voter| voter.persisted(write_count));
     }
 
     /// Handles an operator's request: carries it out if the local member holds the duty, else passes it on to
--- a/crates/duties/src/output.rs
+++ b/crates/duties/src/output.rs
@@ -7,7 +7,7 @@
 /// An action for the host. Outputs are to be carried out in order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Output {
-    /// Write the state to disk before any later output is carried out, and call [`Duties::persisted`](crate::Duties::persisted). If
+    /// Write the state to disk before any later output is carried out, and call [`Duties::persisted`](crate::Duties::persisted) with its write count. If
     /// that fails, the later outputs are to be dropped.
     Persist(StoredVoter),
     /// Erase the stored state before any later output is carried out.
--- a/crates/duties/src/voter.rs
+++ b/crates/duties/src/voter.rs
@@ -90,8 +90,8 @@
     local: ProcessId,
     boot: u64,
     write_count: u64,
-    /// Some state is not on disk yet, and must not be revealed before it is.
-    unpersisted: bool,
+    /// Write count of the last state that is on disk. Later state must not be revealed before it is.
+    persisted_count: u64,
     /// Until this time the voter waits for all other voters, any of which may know of a later process or
     /// write.
     wait_for_all_until: Micros,
@@ -122,7 +122,7 @@
             local,
             boot,
             write_count,
-            unpersisted: false,
+            persisted_count: write_count,
             wait_for_all_until: now.saturating_add(lease.holder_duration),
             phase,
             fresh,
@@ -177,21 +177,20 @@
     }
 
     /// Counts a write to disk and returns the state to write. It is unpersisted until [`Voter::persisted`] is
-    /// called.
+    /// called with its write count.
     pub fn begin_write(&mut self) -> StoredVoter {
         self.write_count = self.write_count.saturating_add(1);
-        self.unpersisted = true;
         StoredVoter { write_count: self.write_count, registers: self.registers() }
     }
 
-    /// Records that the last state returned by [`Voter::begin_write`] is on disk.
-    pub fn persisted(&mut self) {
-        self.unpersisted = false;
+    /// Records that the state with this write count is on disk.
+    pub fn persisted(&mut self, write_count: u64) {
+        self.persisted_count = self.persisted_count.max(write_count);
     }
 
     /// Returns whether some state is not on disk yet.
     pub fn has_unpersisted_write(&self) -> bool {
-        self.unpersisted
+        self.persisted_count < self.write_count
     }
 
     /// Returns the number of writes to disk over all processes of the voter.
@@ -338,7 +337,7 @@
         next.next_request = to;
         next.wait_for_all_until = back(next.wait_for_all_until);
         if next.phase == Phase::Voting {
-            (next.wait_for_all_until, next.unpersisted, next.write_count) = (to, false, 0);
+            (next.wait_for_all_until, next.persisted_count, next.write_count) = (to, 0, 0);
         }
         for leased in next.registers.values_mut() {
             leased.lease =
--- a/crates/duties/src/voter/tests.rs
+++ b/crates/duties/src/voter/tests.rs
@@ -172,3 +172,16 @@
     assert!(voter.register_mut(5).is_some());
     assert!(voter.flags().fresh);
 }
+
+/// Guards against promises that are revealed before they are on disk: a write that fails behind one that succeeds
+/// must be repeated before the next response.
+#[test]
+fn a_completed_write_does_not_count_for_a_later_one() {
+    let mut voter = new_voter(0);
+    let first = voter.begin_write().write_count;
+    let second = voter.begin_write().write_count;
+    voter.persisted(first);
+    assert!(voter.has_unpersisted_write());
+    voter.persisted(second);
+    assert!(!voter.has_unpersisted_write());
+}
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -306,7 +306,7 @@
                             tracing::error!("duties: cannot write registers, promise not sent: {e}");
                             break;
                         }
-                        self.handle.duties().persisted();
+                        self.handle.duties().persisted(stored.write_count);
                     }
                     duties::Output::Erase => {
                         if let Err(e) = self.registers.delete() {
