Write duty registers on a thread of their own

Cause: a voter wrote its registers within the member's task, with three syncs for each write. While the disk took its time, the process sent and answered nothing, and others declared it dead.

Fix: register_writer.rs writes on a thread of its own, one state at a time. Outputs behind a write wait for it in order, or are dropped if it fails, as before. One write serves for all states that wait, and beyond 256 outputs messages are dropped, as a network may drop them. Deleting waits for a write in progress.

--- a/crates/duties/src/core.rs
+++ b/crates/duties/src/core.rs
@@ -228,6 +228,11 @@
         proposers.min(self.voter.as_ref().map_or(Micros::MAX, Voter::next_wake))
     }
 
+    /// Returns the number of outputs that have not been taken.
+    pub fn output_count(&self) -> usize {
+        self.outputs.len()
+    }
+
     /// Takes the actions that the host is to carry out by now.
     pub fn take_outputs(&mut self) -> Vec<Output> {
         std::mem::take(&mut self.outputs)
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,7 +7,7 @@
 //! - `clock`: a clock that also advances while the process is stopped
 //! - `identity`: the boot number in the state folder
 //! - `codec`: encoding of packets
-//! - `registers`: a voter's duty registers in the state folder
+//! - `registers`: a voter's duty registers in the state folder; `register_writer`: the thread that writes them
 //! - `node`: the task that owns the sockets
 //! - `state_exchange`: exchange of full membership states
 //! - `handle`: access to the member for the rest of the process
@@ -22,6 +22,7 @@
 mod handle;
 mod identity;
 mod node;
+mod register_writer;
 mod registers;
 mod state_exchange;
 mod status;
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -9,9 +9,10 @@
 use crate::event_log::log_event;
 use crate::handle::{Handle, Shared, voter_set};
 use crate::identity::{IdentityError, IdentityFile};
+use crate::register_writer::{EndedWrite, RegisterWriter};
 use crate::registers::RegisterFile;
 use crate::state_exchange;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -21,7 +22,7 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{Notify, Semaphore, watch};
 use tokio::time::sleep;
-use yarrowhill_duties::{self as duties, Candidate, Duties};
+use yarrowhill_duties::{self as duties, Candidate, Duties, StoredVoter};
 use yarrowhill_knowledge::{InitialSync, OutageDetector, OutageReport, SlowStart, WaitReport, WaitTable};
 use yarrowhill_membership::{
     Health, InstanceId, MemberId, Membership, Micros, Output, Packet, RosterError, ViewId,
@@ -36,6 +37,8 @@
 const MAX_SNAPSHOT_PACKETS: usize = 8;
 /// Placeholder for a member that does not share outages and so never applies a slow start.
 const NO_SLOW_START: SlowStart = SlowStart { probe_interval: 1, warm_up: 1, initial_fraction: 1.0 };
+/// Maximum number of outputs of duties that wait for a write of registers.
+const MAX_WAITING_OUTPUTS: usize = 256;
 /// Delay after a failure of a socket or of the disk.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -78,7 +81,11 @@
     udp: UdpSocket,
     tcp: TcpListener,
     identity: IdentityFile,
-    registers: RegisterFile,
+    registers: RegisterWriter,
+    /// Outputs of the duties that wait for a write of registers before them, oldest first.
+    duty_outputs: VecDeque<duties::Output>,
+    /// Envelopes about duties from this member to itself.
+    duty_envelopes_to_local: Vec<duties::Envelope>,
     /// View, permission to hold duties and change count that the duties' candidates were last set from.
     candidates_basis: Option<(ViewId, bool, u64)>,
     /// Boot number that could not be written yet, and the time of the next attempt.
@@ -141,7 +148,9 @@
             udp,
             tcp,
             identity,
-            registers,
+            registers: RegisterWriter::new(registers),
+            duty_outputs: VecDeque::new(),
+            duty_envelopes_to_local: Vec::new(),
             candidates_basis: None,
             pending_boot: None,
             update_interval,
@@ -195,6 +204,7 @@
                         sleep(RETRY_DELAY).await;
                     }
                 },
+                ended = self.registers.ended() => self.handle_ended_write(ended),
                 () = self.handle.0.wake.notified() => {}
                 () = sleep(until_wake) => self.handle.core().tick(clock::now()),
             }
@@ -238,7 +248,7 @@
         if let Some((boot, at)) = self.pending_boot
             && clock::now() >= at
         {
-            self.persist_boot(boot);
+            self.persist_boot(boot).await;
         }
         loop {
             let outputs = self.handle.core().take_outputs();
@@ -249,7 +259,7 @@
                 match output {
                     Output::Send { to, packet } => self.send_packet(to, &packet).await,
                     Output::Sync { with } => state_exchange::start(self.handle(), with),
-                    Output::Persist { boot } => self.persist_boot(boot),
+                    Output::Persist { boot } => self.persist_boot(boot).await,
                     Output::Event(event) => log_event(&self.handle, &event),
                 }
             }
@@ -282,8 +292,8 @@
         self.handle.duties().handle(now, from.0, envelope);
     }
 
-    /// Updates the candidates of duties and carries out the duties' outputs in order. If an output cannot be
-    /// written to disk, the outputs after it are dropped, because they may depend on it.
+    /// Updates the candidates of duties and carries out the duties' outputs in order. Those behind registers that
+    /// are to be written wait until they are on disk.
     async fn process_duties(&mut self) {
         if self.handle.duties().is_empty() {
             return;
@@ -293,42 +303,80 @@
         if now >= self.handle.duties().next_wake() {
             self.handle.duties().tick(now);
         }
-        loop {
-            let outputs = self.handle.duties().take_outputs();
-            if outputs.is_empty() {
-                return;
-            }
-            let mut to_local = Vec::new();
-            for output in outputs {
-                match output {
-                    duties::Output::Persist(stored) => {
-                        if let Err(e) = self.registers.write(&stored) {
-                            tracing::error!("duties: cannot write registers, promise not sent: {e}");
-                            break;
-                        }
-                        self.handle.duties().persisted(stored.write_count);
-                    }
-                    duties::Output::Erase => {
-                        if let Err(e) = self.registers.delete() {
-                            tracing::error!(
-                                "duties: cannot delete stored registers, a later start would trust outdated \
-                                 ones: {e}"
-                            );
-                        }
-                    }
-                    duties::Output::Send { to, envelope }
-                        if MemberId(to) == self.handle.core().local_id() =>
-                    {
-                        to_local.push(envelope)
-                    }
-                    duties::Output::Send { to, envelope } => self.send_duty(MemberId(to), &envelope).await,
-                    duties::Output::Event(event) => self.handle.log_duty_event(&event),
-                }
+        while !self.registers.is_writing() {
+            if let Some(output) = self.duty_outputs.pop_front() {
+                self.carry_out(output).await;
+                continue;
             }
-            for envelope in to_local {
+            for envelope in std::mem::take(&mut self.duty_envelopes_to_local) {
                 let local = envelope.from.member;
                 self.handle.duties().handle(clock::now(), local, envelope);
             }
+            self.duty_outputs.extend(self.handle.duties().take_outputs());
+            if self.duty_outputs.is_empty() {
+                return;
+            }
+        }
+        self.limit_waiting_outputs();
+    }
+
+    async fn carry_out(&mut self, output: duties::Output) {
+        match output {
+            duties::Output::Persist(stored) => {
+                let latest = self.latest_state(stored);
+                self.registers.start(latest);
+            }
+            duties::Output::Erase => self.delete_registers().await,
+            duties::Output::Send { to, envelope } if MemberId(to) == self.handle.core().local_id() => {
+                self.duty_envelopes_to_local.push(envelope);
+            }
+            duties::Output::Send { to, envelope } => self.send_duty(MemberId(to), &envelope).await,
+            duties::Output::Event(event) => self.handle.log_duty_event(&event),
+        }
+    }
+
+    /// Returns the last state that waits to be written, which includes `stored`, so that one write serves for all.
+    fn latest_state(&mut self, stored: StoredVoter) -> StoredVoter {
+        let is_erase = |output: &duties::Output| matches!(output, duties::Output::Erase);
+        let erase = self.duty_outputs.iter().position(is_erase).unwrap_or(self.duty_outputs.len());
+        let behind_erase = self.duty_outputs.split_off(erase);
+        let mut latest = stored;
+        for output in std::mem::take(&mut self.duty_outputs) {
+            match output {
+                duties::Output::Persist(later) => latest = later,
+                other => self.duty_outputs.push_back(other),
+            }
+        }
+        self.duty_outputs.extend(behind_erase);
+        latest
+    }
+
+    /// Bounds what waits for a write: drops messages, as the network may, with the states that they need.
+    fn limit_waiting_outputs(&mut self) {
+        if !self.registers.is_writing() || self.handle.duties().output_count() <= MAX_WAITING_OUTPUTS {
+            return;
+        }
+        let outputs = self.handle.duties().take_outputs().into_iter();
+        self.duty_outputs
+            .extend(outputs.filter(|o| matches!(o, duties::Output::Erase | duties::Output::Event(_))));
+    }
+
+    /// If the registers could not be written, the outputs behind them are dropped, because they may depend on them.
+    fn handle_ended_write(&mut self, ended: EndedWrite) {
+        match ended.result {
+            Ok(()) => self.handle.duties().persisted(ended.write_count),
+            Err(e) => {
+                tracing::error!("duties: cannot write registers, promise not sent: {e}");
+                self.duty_outputs.clear();
+            }
+        }
+    }
+
+    async fn delete_registers(&mut self) {
+        if let Err(e) = self.registers.delete().await {
+            tracing::error!(
+                "duties: cannot delete stored registers, a later start would trust outdated ones: {e}"
+            );
         }
     }
 
@@ -475,16 +523,13 @@
         self.send_bytes(to, encode_rights(envelope)).await;
     }
 
-    fn persist_boot(&mut self, boot: u64) {
+    async fn persist_boot(&mut self, boot: u64) {
         // Other members know a later process under this name than the state folder does, so promises that it
         // made as a voter may be missing here.
         self.handle.duties().suspend_voting(clock::now());
-        if let Err(e) = self.registers.delete() {
-            tracing::error!(
-                "duties: cannot delete stored registers, a later start would trust outdated \
-                 ones: {e}"
-            );
-        }
+        // Registers that still wait to be written are outdated as well.
+        self.duty_outputs.clear();
+        self.delete_registers().await;
         match self.identity.write(boot) {
             Ok(()) => {
                 self.pending_boot = None;
