Fill a process's disk in the rig while it writes its registers

No fault of the program.

Cause: the rig makes writes fail by a folder in place of the temporary file. That file exists for as long as a write takes, and making the folder failed meanwhile. The moment could be met before as well.

Fix: the folder takes the place of the file, so that the write in progress fails too, as it does on a full disk.

Evidence: a_folder_takes_the_place_of_a_file_that_is_being_written fails with the call that made the folder before ("File exists") and passes.

--- a/crates/rig/src/fleet/processes.rs
+++ b/crates/rig/src/fleet/processes.rs
@@ -353,7 +353,7 @@
             [self.identity_path().with_extension("new"), self.registers_path().with_extension("duties-new")]
         {
             match full {
-                true => fs::create_dir_all(obstacle)?,
+                true => replace_by_folder(&obstacle)?,
                 false => fs::remove_dir_all(obstacle)?,
             }
         }
@@ -405,3 +405,22 @@
         self.stand_ins.endpoints.iter().flatten().flatten()
     }
 }
+
+/// Makes a folder, in place of a file if there is one: the process may be writing it.
+fn replace_by_folder(path: &Path) -> io::Result<()> {
+    loop {
+        match fs::create_dir(path) {
+            Err(e) if e.kind() != io::ErrorKind::AlreadyExists => return Err(e),
+            Err(_) if !path.is_dir() => {}
+            _ => return Ok(()),
+        }
+        match fs::remove_file(path) {
+            // The write has been completed meanwhile.
+            Err(e) if e.kind() == io::ErrorKind::NotFound => {}
+            removed => removed?,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
